Ports, entities, errors, fakes and the first adapters

Cause: nothing existed. The jobs need fixed borders before they can be built side by side. Weighed: a port for each library call against ports by outside system; the second gives fakes that can fail as the outside does. Conclusion: jobs import ports and entities; adapters and fakes implement them.

--- /dev/null
+++ b/src/pepperstep/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports by libraries and the operating system."""
--- /dev/null
+++ b/src/pepperstep/adapters/timers.py
@@ -0,0 +1,43 @@
+"""Timer service on trio's clock."""
+
+import random
+import time
+from collections.abc import AsyncIterator
+
+import trio
+
+__all__ = ["TrioTimers"]
+
+
+class TrioTimers:
+    """Timers of a real host; `rng` gives the jitter."""
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+
+    def now(self) -> float:
+        """Return trio's monotonic time."""
+        return trio.current_time()
+
+    def wall(self) -> float:
+        """Return the Unix time."""
+        return time.time()
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleep for `seconds`."""
+        await trio.sleep(max(0.0, seconds))
+
+    async def subscribe(
+        self, period: float, jitter: float = 0.0
+    ) -> AsyncIterator[float]:
+        """Yield the time each `period` seconds."""
+        due = self.now()
+        while True:
+            due = max(due + period * (1 + jitter * (self._rng.random() - 0.5)), 0)
+            await trio.sleep_until(due)
+            yield self.now()
+            due = max(due, self.now() - period)
+
+    def move_on_after(self, seconds: float) -> trio.CancelScope:
+        """Return a scope that cancels its block after `seconds`."""
+        return trio.move_on_after(seconds)
--- /dev/null
+++ b/src/pepperstep/errors.py
@@ -0,0 +1,98 @@
+"""Errors with codes, and what each one says about the request's execution.
+
+`Code` names every refusal; `Execution` tells a caller whether the request can
+have run; `Failure` is the exception that carries both to the border.
+"""
+
+import enum
+from dataclasses import dataclass
+
+__all__ = ["Code", "Execution", "Failure", "Finding", "InvalidDocument"]
+
+
+class Execution(enum.StrEnum):
+    """What is known about the execution of a request that has failed."""
+
+    # No byte of the request can have reached an upstream that may execute it.
+    NOT_RUN = "not_run"
+    # The request, or a part of it, may have been executed.
+    MAY_HAVE_RUN = "may_have_run"
+
+
+class Code(enum.StrEnum):
+    """Codes of errors, as callers, operators and logs see them."""
+
+    INVALID_REQUEST = "invalid_request"
+    BODY_TOO_LARGE = "body_too_large"
+    PROMPT_TOO_LONG = "prompt_too_long"
+    UNAUTHORIZED = "unauthorized"
+    FORBIDDEN = "forbidden"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_WORKSPACE = "unknown_workspace"
+    UNKNOWN_REQUEST = "unknown_request"
+    UNKNOWN_NAME = "unknown_name"
+    IDEMPOTENCY_CONFLICT = "idempotency_conflict"
+    DEADLINE_EXPIRED = "deadline_expired"
+    OVERLOADED = "overloaded"
+    QUEUE_FULL = "queue_full"
+    NO_UPSTREAM = "no_upstream"
+    RETRIES_EXHAUSTED = "retries_exhausted"
+    CRASHING_REQUEST = "crashing_request"
+    UPSTREAM_FAILED = "upstream_failed"
+    UPSTREAM_REFUSED = "upstream_refused"
+    UPSTREAM_PROTOCOL = "upstream_protocol"
+    MAY_HAVE_RUN = "may_have_run"
+    CANCELLED = "cancelled"
+    NOT_READY = "not_ready"
+    DRAINING = "draining"
+    NO_QUORUM = "no_quorum"
+    NOT_LEADER = "not_leader"
+    REVISION_CONFLICT = "revision_conflict"
+    INVALID_CONFIGURATION = "invalid_configuration"
+    PEER_UNREACHABLE = "peer_unreachable"
+    FENCED = "fenced"
+    CORRUPT_STORAGE = "corrupt_storage"
+    INTERNAL = "internal"
+
+
+class Failure(Exception):
+    """An error with a code, a sentence for people and a time to come back.
+
+    `retry_after` is in seconds; None means that coming back is of no use.
+    """
+
+    def __init__(
+        self,
+        code: Code,
+        text: str,
+        *,
+        execution: Execution = Execution.NOT_RUN,
+        retry_after: float | None = None,
+    ):
+        super().__init__(f"{code}: {text}")
+        self.code = code
+        self.text = text
+        self.execution = execution
+        self.retry_after = retry_after
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One fault in a document, with the file and the key path it stands at."""
+
+    file: str
+    path: str
+    text: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.path}: {self.text}"
+
+
+class InvalidDocument(Failure):
+    """A document with faults, all of which are in `findings`."""
+
+    def __init__(self, findings: list[Finding]):
+        lines = "\n".join(str(finding) for finding in findings)
+        super().__init__(Code.INVALID_CONFIGURATION, lines)
+        self.findings = findings
--- /dev/null
+++ b/src/pepperstep/fakes/__init__.py
@@ -0,0 +1,11 @@
+"""Small fakes of the ports, for tests and measurements in virtual time.
+
+Whole hosts run in one process on trio's `MockClock`; failures are brought
+about by the methods of the fakes.
+"""
+
+from pepperstep.fakes.network import FakeNetwork, FakePeers
+from pepperstep.fakes.storage import FakeDisk
+from pepperstep.fakes.timers import FakeTimers
+
+__all__ = ["FakeDisk", "FakeNetwork", "FakePeers", "FakeTimers"]
--- /dev/null
+++ b/src/pepperstep/ports/__init__.py
@@ -0,0 +1,53 @@
+"""What the jobs need from outside, as protocols that adapters implement."""
+
+from pepperstep.ports.cloud import (
+    Cloud,
+    CloudHost,
+    HostState,
+    Offer,
+    PriceClass,
+    ReclaimNotice,
+    StartRefused,
+)
+from pepperstep.ports.peers import PeerNetwork
+from pepperstep.ports.storage import Storage
+from pepperstep.ports.timers import Timers
+from pepperstep.ports.upstreams import (
+    CacheExport,
+    EndMark,
+    GenerateOrder,
+    OrderKind,
+    TokenChunk,
+    UpstreamClient,
+    UpstreamFault,
+    UpstreamLost,
+    UpstreamOrder,
+    UpstreamRefused,
+    UpstreamState,
+)
+from pepperstep.ports.weights import WeightStore
+
+__all__ = [
+    "CacheExport",
+    "Cloud",
+    "CloudHost",
+    "EndMark",
+    "GenerateOrder",
+    "HostState",
+    "Offer",
+    "OrderKind",
+    "PeerNetwork",
+    "PriceClass",
+    "ReclaimNotice",
+    "StartRefused",
+    "Storage",
+    "Timers",
+    "TokenChunk",
+    "UpstreamClient",
+    "UpstreamFault",
+    "UpstreamLost",
+    "UpstreamOrder",
+    "UpstreamRefused",
+    "UpstreamState",
+    "WeightStore",
+]
--- /dev/null
+++ b/src/pepperstep/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated messages between the processes; `make proto` writes them anew."""
