--- a/src/pepperstep/fakes/__init__.py
+++ b/src/pepperstep/fakes/__init__.py
@@ -4,8 +4,16 @@
 about by the methods of the fakes.
 """
 
+from pepperstep.fakes.agreement import FakeAgreement, FakeLog
 from pepperstep.fakes.network import FakeNetwork, FakePeers
 from pepperstep.fakes.storage import FakeDisk
 from pepperstep.fakes.timers import FakeTimers
 
-__all__ = ["FakeDisk", "FakeNetwork", "FakePeers", "FakeTimers"]
+__all__ = [
+    "FakeAgreement",
+    "FakeDisk",
+    "FakeLog",
+    "FakeNetwork",
+    "FakePeers",
+    "FakeTimers",
+]
--- a/src/pepperstep/ports/__init__.py
+++ b/src/pepperstep/ports/__init__.py
@@ -1,5 +1,6 @@
 """What the jobs need from outside, as protocols that adapters implement."""
 
+from pepperstep.ports.agreement import Agreement, Machine
 from pepperstep.ports.cloud import (
     Cloud,
     CloudHost,
@@ -28,6 +29,7 @@
 from pepperstep.ports.weights import WeightStore
 
 __all__ = [
+    "Agreement",
     "CacheExport",
     "Cloud",
     "CloudHost",
@@ -35,6 +37,7 @@
     "GenerateOrder",
     "HostState",
     "Offer",
+    "Machine",
     "OrderKind",
     "PeerNetwork",
     "PriceClass",
