--- /dev/null
+++ b/src/pepperstep/consensus/node.py
@@ -0,0 +1,319 @@
+"""A control host's part in the replicated log."""
+
+import random
+
+import trio
+from google.protobuf.message import Message
+
+from pepperstep.consensus.election import Election
+from pepperstep.consensus.follower import Follower
+from pepperstep.consensus.formation import Formation
+from pepperstep.consensus.forwarding import Forwarder, new_proposal, no_quorum
+from pepperstep.consensus.leadership import Leadership
+from pepperstep.consensus.members import Identity
+from pepperstep.consensus.repair import Repair
+from pepperstep.consensus.replica import Pending, Replica
+from pepperstep.consensus.replication import Replication
+from pepperstep.consensus.status import MemberStatus, Status
+from pepperstep.consensus.tuning import Tuning
+from pepperstep.errors import Code, Failure
+from pepperstep.ports import Machine, PeerNetwork, Storage, Timers
+from pepperstep.proto import consensus_pb2 as pb
+
+__all__ = ["Consensus"]
+
+
+class Consensus:
+    """Replicated log on one control host; see `from_config`."""
+
+    def __init__(
+        self,
+        name: str,
+        voters: tuple[str, ...],
+        storage: Storage,
+        peers: PeerNetwork,
+        timers: Timers,
+        rng: random.Random,
+        group: str,
+        tuning: Tuning,
+    ):
+        self._name = name
+        self._group = group
+        self._peers = peers
+        self._timers = timers
+        self._rng = rng
+        self._tuning = tuning
+        self._leadership: Leadership | None = None
+        self._replica = Replica(storage, group, tuning)
+        self._formation = Formation(
+            name, voters, group, self._replica, peers, timers, rng, tuning
+        )
+        self._follower = Follower(self._replica, timers, tuning)
+        self._follower.step_down = self._step_down
+        self._follower.has_lease = lambda: self._has_lease
+        self._election = Election(
+            group, self._replica, self._follower, peers, timers, rng, tuning
+        )
+        self._replication = Replication(
+            group, self._replica, self._follower, peers, timers, tuning
+        )
+        self._repair = Repair(self._replica, timers, tuning, len(voters))
+        self._forwarder = Forwarder(group, voters, self._call, timers, rng, tuning)
+        self._register_handlers()
+
+    @classmethod
+    def from_config(
+        cls,
+        *,
+        name: str,
+        voters: tuple[str, ...],
+        storage: Storage,
+        peers: PeerNetwork,
+        timers: Timers,
+        rng: random.Random,
+        group: str = "control",
+        tuning: Tuning | None = None,
+    ) -> "Consensus":
+        """Return the log of the control host `name`, which `run` starts.
+
+        `voters` names the first voters, the same on all hosts; `rng` must be
+        seeded differently on each host and at each start.
+        """
+        return cls(name, voters, storage, peers, timers, rng, group, tuning or Tuning())
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this host leads, its lease holds, and its machines are current."""
+        return self._has_lease and self._leadership.is_ready
+
+    @property
+    def term(self) -> int:
+        """Latest term that this host knows."""
+        return self._replica.term
+
+    @property
+    def leader(self) -> str:
+        """Name of the leader as far as this host knows, or ""."""
+        if self._leadership is not None and self._leadership.is_active:
+            return self._name
+        return self._follower.leader
+
+    def register(self, name: str, machine: Machine) -> None:
+        """Add a machine, before `run`."""
+        self._replica.machines.register(name, machine)
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Take part until cancelled.
+
+        Raise `Failure` with `CORRUPT_STORAGE` for damaged files and OSError
+        if the disk fails.
+        """
+        task_status.started()
+        await self._formation.run()
+        self._follower.start()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._replica.run)
+            nursery.start_soon(self._forwarder.run)
+            nursery.start_soon(self._run_terms)
+
+    async def propose(self, name: str, command: bytes, timeout: float) -> bytes:
+        """Return the machine's result once the command is committed and applied.
+
+        Raise `Failure` with `NO_QUORUM` after `timeout` seconds; the command
+        may then still be committed later if the failure's execution says so.
+        """
+        deadline = self._timers.now() + timeout
+        proposal = new_proposal(self._rng, name, command, self._replica.commit_index)
+        self._forwarder.aim(self.leader)
+        if self._leadership is None:
+            return await self._forwarder.propose(proposal, deadline)
+        result = await self._propose_here(proposal, timeout)
+        if result.status == pb.LogProposeReply.DONE:
+            return result.data
+        if result.status == pb.LogProposeReply.REFUSED:
+            raise Failure(Code(result.code), result.text)
+        return await self._forwarder.propose(proposal, deadline, is_doubtful=True)
+
+    async def barrier(self, timeout: float) -> int:
+        """Return a log position that this host's machines have applied.
+
+        It covers all commits up to this call. Raise `Failure` with
+        `NO_QUORUM` after `timeout` seconds.
+        """
+        deadline = self._timers.now() + timeout
+        self._forwarder.aim(self.leader)
+        with self._timers.move_on_after(timeout):
+            index = await self._forwarder.barrier(deadline)
+            await self._replica.wait_applied(index)
+            return index
+        raise no_quorum(is_doubtful=False)
+
+    def status(self) -> Status:
+        """Return what this host knows of the log."""
+        replica = self._replica
+        membership = replica.membership
+        return Status(
+            name=self._name,
+            disk_id=replica.identity.disk_id,
+            is_leader=self.is_leader,
+            leader=self.leader,
+            term=replica.term,
+            last_index=replica.log.last_index,
+            commit_index=replica.commit_index,
+            applied_index=replica.applied_index,
+            snapshot_index=replica.store.snapshot_index,
+            voters=tuple(map(self._member_status, membership.voters)),
+            learners=tuple(map(self._member_status, membership.learners)),
+            is_redundant=self._is_redundant,
+        )
+
+    @property
+    def _has_lease(self) -> bool:
+        return self._leadership is not None and self._leadership.has_lease
+
+    @property
+    def _is_redundant(self) -> bool | None:
+        if not self.is_leader:
+            return None
+        return self._repair.is_redundant(self._leadership)
+
+    def _member_status(self, identity: Identity) -> MemberStatus:
+        match_index, contact_age = 0, None
+        if identity == self._replica.identity:
+            match_index, contact_age = self._replica.synced_index, 0.0
+        elif self._leadership is not None:
+            progress = self._leadership.progress.get(identity)
+            if progress is not None:
+                match_index = progress.match_index
+                contact_age = progress.contact_age(self._timers.now())
+        return MemberStatus(identity.name, identity.disk_id, match_index, contact_age)
+
+    async def _run_terms(self) -> None:
+        while True:
+            await self._election.win()
+            await self._lead()
+
+    async def _lead(self) -> None:
+        leadership = Leadership(
+            self._replica,
+            self._timers,
+            self._tuning,
+            self._replication.run,
+            self._repair.run,
+        )
+        self._leadership = leadership
+        self._replica.on_synced = leadership.acknowledge
+        try:
+            await leadership.run()
+        finally:
+            self._replica.on_synced = lambda: None
+            self._leadership = None
+            self._replica.abandon_pending()
+
+    def _step_down(self) -> None:
+        if self._leadership is not None:
+            self._leadership.step_down()
+
+    async def _propose_here(
+        self, proposal: pb.LogProposal, timeout: float
+    ) -> pb.LogProposeReply.Result:
+        results = await self._propose_all([proposal], timeout)
+        return results[0]
+
+    async def _propose_all(
+        self, proposals: list[pb.LogProposal], timeout: float
+    ) -> list[pb.LogProposeReply.Result]:
+        """Put proposals in the log and return what became of them in time."""
+        admitted = [self._leadership.admit(proposal) for proposal in proposals]
+        with self._timers.move_on_after(timeout):
+            for item in admitted:
+                if isinstance(item, Pending):
+                    await item.done.wait()
+        return [_result_of(item) for item in admitted]
+
+    async def _call(self, peer: str, message: Message, timeout: float) -> Message:
+        """Call a peer, or this host itself without the network."""
+        if peer != self._name:
+            return await self._peers.call(peer, message, timeout)
+        if isinstance(message, pb.LogProposeRequest):
+            return await self._on_propose(message, self._name)
+        return await self._on_barrier(message, self._name)
+
+    def _register_handlers(self) -> None:
+        self._peers.handle(pb.LogVoteRequest, self._on_vote)
+        self._peers.handle(pb.LogAppendRequest, self._on_append)
+        self._peers.handle(pb.LogSnapshotRequest, self._on_snapshot)
+        self._peers.handle(pb.LogProposeRequest, self._on_propose)
+        self._peers.handle(pb.LogBarrierRequest, self._on_barrier)
+
+    async def _on_vote(self, request: pb.LogVoteRequest, sender: str) -> Message:
+        self._check_group(request.header.group)
+        return await self._follower.on_vote(request)
+
+    async def _on_append(self, request: pb.LogAppendRequest, sender: str) -> Message:
+        self._check_leader(request.header)
+        return await self._follower.on_append(request)
+
+    async def _on_snapshot(
+        self, request: pb.LogSnapshotRequest, sender: str
+    ) -> Message:
+        self._check_leader(request.header)
+        return await self._follower.on_snapshot(request)
+
+    async def _on_propose(
+        self, request: pb.LogProposeRequest, sender: str
+    ) -> pb.LogProposeReply:
+        self._check_group(request.group)
+        reply = pb.LogProposeReply()
+        leadership = self._leadership
+        if leadership is not None and leadership.is_active:
+            reply.is_leader = True
+            reply.results.extend(
+                await self._propose_all(list(request.proposals), request.timeout)
+            )
+        reply.leader = self.leader
+        reply.term = self._replica.term
+        reply.commit_index = self._replica.commit_index
+        return reply
+
+    async def _on_barrier(
+        self, request: pb.LogBarrierRequest, sender: str
+    ) -> pb.LogBarrierReply:
+        self._check_group(request.group)
+        reply = pb.LogBarrierReply()
+        leadership = self._leadership
+        if leadership is not None and leadership.is_active:
+            with self._timers.move_on_after(request.timeout):
+                reply.index = await leadership.read_index()
+            reply.is_leader = True
+        reply.leader = self.leader
+        reply.term = self._replica.term
+        return reply
+
+    def _check_leader(self, header: pb.LogHeader) -> None:
+        """Refuse a leader's message that this host can't take."""
+        self._check_group(header.group)
+        if not self._replica.is_member:
+            if header.target_disk_id == self._replica.identity.disk_id:
+                self._formation.invite()
+            elif self._replica.identity.disk_id:
+                return
+            raise Failure(Code.NOT_READY, "The log isn't read yet.")
+        if self._has_lease and header.term == self._replica.term:
+            raise Failure(Code.INTERNAL, "Two leaders in one term.")
+
+    def _check_group(self, group: str) -> None:
+        if group != self._group:
+            raise Failure(Code.UNKNOWN_NAME, f"No log {group} on this host.")
+
+
+def _result_of(
+    item: Pending | pb.LogProposeReply.Result,
+) -> pb.LogProposeReply.Result:
+    if isinstance(item, pb.LogProposeReply.Result):
+        return item
+    if item.answer is None:
+        return pb.LogProposeReply.Result(status=pb.LogProposeReply.UNKNOWN)
+    if item.answer.result is None:
+        return pb.LogProposeReply.Result(status=pb.LogProposeReply.STALE)
+    return pb.LogProposeReply.Result(data=item.answer.result)
--- /dev/null
+++ b/src/pepperstep/consensus/repair.py
@@ -0,0 +1,113 @@
+"""The leader's repair of the membership, by one voter at a time.
+
+A voter whose host has another disk now is removed; the host is taken in as a
+learner under its new identity, and votes once it has synced the log.
+"""
+
+from dataclasses import dataclass
+
+from absl import logging
+
+from pepperstep.consensus.leadership import Leadership, Progress
+from pepperstep.consensus.members import Identity, Membership
+from pepperstep.consensus.replica import Replica
+from pepperstep.consensus.tuning import Tuning
+from pepperstep.ports import Timers
+
+__all__ = ["Repair"]
+
+
+@dataclass(frozen=True, slots=True)
+class _Round:
+    """A learner's race to the log's end as it was at the start of the round."""
+
+    target: int
+    started_at: float
+
+
+class Repair:
+    """Watches the followers of one leadership; `size` is the number of voters."""
+
+    def __init__(self, replica: Replica, timers: Timers, tuning: Tuning, size: int):
+        self._replica = replica
+        self._timers = timers
+        self._tuning = tuning
+        self._size = size
+        # With fewer voters, an entry would stand on too few disks.
+        self._min_voters = size // 2 + 1
+        self._rounds: dict[Identity, _Round] = {}
+
+    async def run(self, leadership: Leadership) -> None:
+        """Repair until cancelled."""
+        self._rounds.clear()
+        async for _ in self._timers.subscribe(self._tuning.heartbeat):
+            if not self.is_settled(leadership):
+                continue
+            wanted = self._next_membership(leadership)
+            if wanted != self._replica.membership:
+                logging.info("consensus: Changes the members: %s.", _describe(wanted))
+                leadership.propose_membership(wanted)
+
+    def is_settled(self, leadership: Leadership) -> bool:
+        """Whether the last change and an entry of this term are committed."""
+        last_change = self._replica.log.membership_index
+        needed = max(last_change, leadership.first_index)
+        return leadership.has_lease and self._replica.commit_index >= needed
+
+    def is_redundant(self, leadership: Leadership) -> bool:
+        """Whether as many voters as at first answer and have all commits."""
+        membership = self._replica.membership
+        if len(membership.voters) < self._size or membership.learners:
+            return False
+        now = self._timers.now()
+        for progress in leadership.progress.values():
+            age = progress.contact_age(now)
+            if age is None or age > self._tuning.election:
+                return False
+            if progress.match_index < self._replica.commit_index:
+                return False
+        return self.is_settled(leadership)
+
+    def _next_membership(self, leadership: Leadership) -> Membership:
+        """Return the membership after at most one change of a voter."""
+        membership = self._replica.membership
+        for identity in membership.members:
+            progress = leadership.progress.get(identity)
+            if progress is not None and progress.other_disk_id:
+                membership = self._renew(membership, progress)
+                if membership.voters != self._replica.membership.voters:
+                    return membership
+        if len(membership.voters) >= self._size:
+            return membership
+        for learner in membership.learners:
+            progress = leadership.progress.get(learner)
+            if progress is not None and self._is_caught_up(progress):
+                return membership.with_voter(learner)
+        return membership
+
+    def _renew(self, membership: Membership, progress: Progress) -> Membership:
+        """Return the membership with the host's new identity as a learner."""
+        old = progress.identity
+        new = Identity(old.name, progress.other_disk_id)
+        if old in membership.learners or len(membership.voters) > self._min_voters:
+            membership = membership.without(old)
+        if new in membership.voters:
+            return membership
+        return membership.with_learner(new)
+
+    def _is_caught_up(self, progress: Progress) -> bool:
+        """Whether the learner came to the log's end within an election timeout."""
+        now = self._timers.now()
+        current = self._rounds.get(progress.identity)
+        if current is not None and progress.match_index < current.target:
+            return False
+        self._rounds[progress.identity] = _Round(self._replica.log.last_index, now)
+        if current is None:
+            return False
+        return now - current.started_at <= self._tuning.election
+
+
+def _describe(membership: Membership) -> str:
+    voters = ", ".join(str(identity) for identity in membership.voters)
+    learners = ", ".join(str(identity) for identity in membership.learners)
+    return f"voters {voters}; learners {learners or 'none'}"
