Thin path: daemons, engines and a caller's stream from end to end

Cause: nothing served a request yet. Weighed: releasing tokens at once, and relying on engines to repeat them after a takeover, against releasing them once the second host has them; the latter needs no promise of engines, so it is the default. Ownership of requests by host fencing against by link: a link concerns only the two hosts and lets the owner drop a slow second. Conclusion: the path stands; hosts, configuration and log are still static or fake in the daemon.

--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The main job, embedded: real processes on this machine."""
--- /dev/null
+++ b/demo/launcher.py
@@ -0,0 +1,151 @@
+"""Starts daemons and stand-ins as processes on loopback, and ends them."""
+
+import hashlib
+import os
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import tomli_w
+
+__all__ = ["DaemonPlace", "EnginePlace", "Launcher", "free_ports", "key_hash"]
+
+UPSTREAM_KEY = "demo-upstream-key"
+
+
+def key_hash(key: str) -> str:
+    """Return what the configuration keeps of a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+@dataclass(frozen=True)
+class DaemonPlace:
+    """A daemon's name, place and addresses."""
+
+    name: str
+    zone: str
+    region: str
+    site: str
+    caller_port: int
+    peer_port: int
+    roles: tuple[str, ...] = ("entry",)
+
+    @property
+    def url(self) -> str:
+        """Base URL for callers."""
+        return f"http://127.0.0.1:{self.caller_port}"
+
+
+@dataclass(frozen=True)
+class EnginePlace:
+    """A stand-in engine's name, place and address."""
+
+    name: str
+    zone: str
+    region: str
+    port: int
+    models: tuple[str, ...]
+    flags: tuple[str, ...] = ()
+
+    @property
+    def address(self) -> str:
+        """Address for hosts."""
+        return f"127.0.0.1:{self.port}"
+
+
+@dataclass
+class Launcher:
+    """Processes under one folder, which keeps their settings and logs."""
+
+    folder: Path
+    processes: dict[str, subprocess.Popen] = field(default_factory=dict)
+
+    def __enter__(self) -> "Launcher":
+        self.folder.mkdir(parents=True, exist_ok=True)
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        for name in list(self.processes):
+            self.stop(name)
+
+    def start_daemon(
+        self, place: DaemonPlace, all_places: list[DaemonPlace], base: Path
+    ) -> None:
+        """Start a daemon that knows the others as seeds."""
+        settings = {
+            "host": {
+                "name": place.name,
+                "zone": place.zone,
+                "region": place.region,
+                "site": place.site,
+                "peer_address": f"127.0.0.1:{place.peer_port}",
+                "caller_address": f"127.0.0.1:{place.caller_port}",
+                "roles": list(place.roles),
+            },
+            "seeds": [
+                {"name": each.name, "peer_address": f"127.0.0.1:{each.peer_port}"}
+                for each in all_places
+                if each.name != place.name
+            ],
+            "control": {
+                "voters": [p.name for p in all_places if "control" in p.roles],
+                "data_folder": str(self.folder / f"{place.name}-data"),
+            },
+            "documents": {"base": str(base)},
+            "upstream_key": UPSTREAM_KEY,
+        }
+        path = self.folder / f"{place.name}.toml"
+        path.write_text(tomli_w.dumps(settings))
+        self._start(place.name, ["pepperstep.daemon", "--config", str(path)])
+
+    def start_engine(self, place: EnginePlace, urls: list[str]) -> None:
+        """Start a stand-in engine that announces itself at `urls`."""
+        arguments = [
+            "standins.engine",
+            f"--name={place.name}",
+            f"--address={place.address}",
+            f"--zone={place.zone}",
+            f"--region={place.region}",
+            f"--models={','.join(place.models)}",
+            f"--entry_hosts={','.join(urls)}",
+            f"--key={UPSTREAM_KEY}",
+            *place.flags,
+        ]
+        self._start(place.name, arguments)
+
+    def stop(self, name: str) -> None:
+        """End a process by SIGTERM, after some seconds by SIGKILL."""
+        process = self.processes.pop(name)
+        process.terminate()
+        try:
+            process.wait(5)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+    def kill(self, name: str) -> None:
+        """End a process without notice."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def _start(self, name: str, arguments: list[str]) -> None:
+        log = (self.folder / f"{name}.log").open("w")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", *arguments],
+            stdout=log,
+            stderr=log,
+            env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+        )
+        log.close()
--- /dev/null
+++ b/src/pepperstep/adapters/http_upstreams.py
@@ -0,0 +1,299 @@
+"""Client of upstreams over HTTP, by httpcore (docs/INTERFACES.md).
+
+Each upstream has a connection pool of its own: one large pool would look at
+every connection for each request.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import httpcore
+import msgspec
+
+from pepperstep.entities import ModelKey, Request, Role, ServiceAnswer, Upstream
+from pepperstep.ports import (
+    CacheExport,
+    EndMark,
+    GenerateOrder,
+    TokenChunk,
+    UpstreamLost,
+    UpstreamOrder,
+    UpstreamRefused,
+    UpstreamState,
+)
+
+__all__ = ["HttpUpstreams"]
+
+_CONNECT_SECONDS = 1.0
+# A stream without any byte for this time counts as lost.
+_SILENCE_SECONDS = 15.0
+_CONTROL_SECONDS = 5.0
+_MAX_CONNECTIONS = 1000
+_MAX_EVENT_BYTES = 1024 * 1024
+_MAX_ANSWER_BYTES = 16 * 1024 * 1024
+_EVENT_END = b"\n\n"
+_DATA_PREFIX = b"data: "
+# Statuses by which an upstream says that it surely didn't run the request.
+_REFUSALS = frozenset({401, 404, 409, 429, 503})
+
+
+class _Event(msgspec.Struct):
+    """One event of an engine's stream: tokens, or the end mark."""
+
+    attempt_id: str
+    position: int = 0
+    tokens: tuple[str, ...] = ()
+    count: int | None = None
+    finish: str = ""
+    computed_tokens: int = 0
+    cached_tokens: int = 0
+
+
+class _Confirmation(msgspec.Struct):
+    """Answer to a cancel: whether the attempt has ended."""
+
+    is_ended: bool
+
+
+class _Export(msgspec.Struct):
+    """Answer to an export of a KV cache."""
+
+    tokens: int
+    size_bytes: int
+
+
+class _State(msgspec.Struct):
+    """An upstream's state when it's read back."""
+
+    epoch: int
+    models: list[ModelKey]
+    role: Role
+    is_leaving: bool
+    fence: int
+    last_order: str
+
+
+_decode_event = msgspec.json.Decoder(_Event).decode
+
+
+class HttpUpstreams:
+    """Upstream client that keeps one connection pool for each upstream."""
+
+    def __init__(self, key: str, ssl_context=None):
+        self._headers = [(b"authorization", b"Bearer " + key.encode())]
+        self._ssl_context = ssl_context
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+
+    @asynccontextmanager
+    async def generate(
+        self, upstream: Upstream, order: GenerateOrder
+    ) -> AsyncIterator[AsyncIterator[TokenChunk | EndMark]]:
+        """Open an attempt and give its chunks."""
+        body = msgspec.json.encode(order)
+        request = self._request(upstream, "/engine/v1/generate", body)
+        async with _mapped_errors(), self._pool(upstream).stream(**request) as response:
+            if response.status != 200:
+                raise await _error_of(response)
+            yield _read_events(response)
+
+    async def cancel(self, upstream: Upstream, attempt_id: str) -> bool:
+        """Return whether the upstream confirmed that the attempt has ended."""
+        body = msgspec.json.encode({"attempt_id": attempt_id})
+        answer = await self._post(upstream, "/engine/v1/cancel", body)
+        return _decode(answer, _Confirmation).is_ended
+
+    async def export_cache(
+        self, upstream: Upstream, attempt_id: str, target: Upstream
+    ) -> CacheExport:
+        """Stop the attempt and send its KV cache to `target`."""
+        body = msgspec.json.encode({"attempt_id": attempt_id, "target": target.address})
+        answer = await self._post(
+            upstream, "/engine/v1/kv/export", body, _SILENCE_SECONDS
+        )
+        export = _decode(answer, _Export)
+        return CacheExport(export.tokens, export.size_bytes)
+
+    async def call_service(
+        self, upstream: Upstream, request: Request, attempt_id: str
+    ) -> ServiceAnswer:
+        """Return the whole answer of a plain service."""
+        headers = [
+            (b"content-type", request.content_type.encode() or b"application/json"),
+            (b"x-attempt-id", attempt_id.encode()),
+        ]
+        call = self._request(upstream, request.path, request.body, headers)
+        call["method"] = request.method.encode()
+        async with _mapped_errors(), self._pool(upstream).stream(**call) as response:
+            if _header(response, b"x-not-run"):
+                raise await _error_of(response)
+            echoed = _header(response, b"x-attempt-id")
+            if echoed and echoed != attempt_id:
+                raise UpstreamLost(f"Answer of {echoed} came to {attempt_id}.")
+            body = await _read_whole(response)
+            content_type = _header(response, b"content-type")
+            return ServiceAnswer(response.status, content_type, body)
+
+    async def send_order(self, upstream: Upstream, order: UpstreamOrder) -> None:
+        """Return once the upstream has accepted the order."""
+        await self._post(upstream, "/upstream/v1/orders", msgspec.json.encode(order))
+
+    async def read_state(self, upstream: Upstream) -> UpstreamState:
+        """Return the state as the upstream has it now."""
+        answer = await self._post(upstream, "/upstream/v1/state", b"{}")
+        state = _decode(answer, _State)
+        return UpstreamState(
+            state.epoch,
+            frozenset(state.models),
+            state.role,
+            state.is_leaving,
+            state.fence,
+            state.last_order,
+        )
+
+    async def forget(self, address: str) -> None:
+        """Close the connections to an upstream that has gone."""
+        pool = self._pools.pop(address, None)
+        if pool is not None:
+            await pool.aclose()
+
+    async def _post(
+        self,
+        upstream: Upstream,
+        path: str,
+        body: bytes,
+        timeout: float = _CONTROL_SECONDS,
+    ) -> bytes:
+        request = self._request(upstream, path, body, timeout=timeout)
+        async with _mapped_errors(), self._pool(upstream).stream(**request) as response:
+            if response.status != 200:
+                raise await _error_of(response)
+            return await _read_whole(response)
+
+    def _pool(self, upstream: Upstream) -> httpcore.AsyncConnectionPool:
+        pool = self._pools.get(upstream.address)
+        if pool is None:
+            pool = httpcore.AsyncConnectionPool(
+                ssl_context=self._ssl_context,
+                max_connections=_MAX_CONNECTIONS,
+                keepalive_expiry=30.0,
+            )
+            self._pools[upstream.address] = pool
+        return pool
+
+    def _request(
+        self,
+        upstream: Upstream,
+        path: str,
+        body: bytes,
+        headers: list[tuple[bytes, bytes]] | None = None,
+        timeout: float = _SILENCE_SECONDS,
+    ) -> dict:
+        scheme = "http" if self._ssl_context is None else "https"
+        content = headers or [(b"content-type", b"application/json")]
+        length = (b"content-length", str(len(body)).encode())
+        host = (b"host", upstream.address.encode())
+        return {
+            "method": b"POST",
+            "url": f"{scheme}://{upstream.address}{path}",
+            "headers": [host, length, *content, *self._headers],
+            "content": body,
+            "extensions": {
+                "timeout": {
+                    "connect": _CONNECT_SECONDS,
+                    "read": timeout,
+                    "write": timeout,
+                    "pool": _CONNECT_SECONDS,
+                }
+            },
+        }
+
+
+@asynccontextmanager
+async def _mapped_errors() -> AsyncIterator[None]:
+    """Turn httpcore's errors into the port's.
+
+    Only an error before any byte went out says that the request didn't run.
+    """
+    try:
+        yield
+    except (
+        httpcore.ConnectError,
+        httpcore.ConnectTimeout,
+        httpcore.PoolTimeout,
+    ) as error:
+        raise UpstreamRefused(f"No connection: {type(error).__name__}.") from error
+    except (
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+    ) as error:
+        raise UpstreamLost(f"Connection lost: {type(error).__name__}.") from error
+
+
+async def _error_of(response: httpcore.Response) -> UpstreamRefused | UpstreamLost:
+    body = await _read_whole(response)
+    text = f"Status {response.status}: {body[:200].decode(errors='replace')}"
+    if response.status in _REFUSALS:
+        return UpstreamRefused(text, _seconds(_header(response, b"retry-after")))
+    return UpstreamLost(text)
+
+
+async def _read_events(
+    response: httpcore.Response,
+) -> AsyncIterator[TokenChunk | EndMark]:
+    rest = b""
+    async for data in response.aiter_stream():
+        parts = (rest + data).split(_EVENT_END)
+        rest = parts.pop()
+        if len(rest) > _MAX_EVENT_BYTES:
+            raise UpstreamLost("An event is too long.")
+        for part in parts:
+            yield _decode_part(part)
+
+
+def _decode_part(part: bytes) -> TokenChunk | EndMark:
+    if not part.startswith(_DATA_PREFIX):
+        raise UpstreamLost("The stream is no event stream.")
+    try:
+        event = _decode_event(part[len(_DATA_PREFIX) :])
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise UpstreamLost("An event can't be decoded.") from error
+    if event.count is None:
+        return TokenChunk(event.attempt_id, event.position, event.tokens)
+    return EndMark(
+        event.attempt_id,
+        event.count,
+        event.finish,
+        event.computed_tokens,
+        event.cached_tokens,
+    )
+
+
+def _decode(data: bytes, message_type: type):
+    try:
+        return msgspec.json.decode(data, type=message_type)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise UpstreamLost("An answer can't be decoded.") from error
+
+
+async def _read_whole(response: httpcore.Response) -> bytes:
+    body = bytearray()
+    async for data in response.aiter_stream():
+        body += data
+        if len(body) > _MAX_ANSWER_BYTES:
+            raise UpstreamLost("The answer is too long.")
+    return bytes(body)
+
+
+def _header(response: httpcore.Response, name: bytes) -> str:
+    for key, value in response.headers:
+        if key.lower() == name:
+            return value.decode("latin-1")
+    return ""
+
+
+def _seconds(text: str) -> float | None:
+    try:
+        return float(text)
+    except ValueError:
+        return None
--- a/src/pepperstep/configuration/__init__.py
+++ b/src/pepperstep/configuration/__init__.py
@@ -1,6 +1,23 @@
 """Agreed configuration: one base document and an overlay for each site."""
 
+from pepperstep.configuration.changes import (
+    Change,
+    ChangeAnswer,
+    ChangeStatus,
+    Winner,
+)
+from pepperstep.configuration.documents import Document, merge, parse
+from pepperstep.configuration.keys import (
+    find_caller,
+    find_operator,
+    hash_key,
+    is_upstream_key,
+    may_change,
+)
+from pepperstep.configuration.machine import ConfigurationMachine
+from pepperstep.configuration.origins import Origin, origins
 from pepperstep.configuration.schema import (
+    BASE,
     BaseDocument,
     Caller,
     Configuration,
@@ -14,14 +31,30 @@
 )
 
 __all__ = [
+    "BASE",
     "BaseDocument",
     "Caller",
+    "Change",
+    "ChangeAnswer",
+    "ChangeStatus",
     "Configuration",
+    "ConfigurationMachine",
     "Deployment",
+    "Document",
     "Limits",
     "Operator",
+    "Origin",
     "OverlayDocument",
     "Service",
     "SiteSettings",
+    "Winner",
     "Workspace",
+    "find_caller",
+    "find_operator",
+    "hash_key",
+    "is_upstream_key",
+    "may_change",
+    "merge",
+    "origins",
+    "parse",
 ]
--- a/src/pepperstep/configuration/schema.py
+++ b/src/pepperstep/configuration/schema.py
@@ -4,6 +4,7 @@
 """
 
 from dataclasses import field
+from functools import cached_property
 from typing import Annotated, Literal
 
 from pydantic import ConfigDict, Field
@@ -12,6 +13,8 @@
 from pepperstep.entities import ModelKey
 
 __all__ = [
+    "BASE",
+    "SECTIONS",
     "BaseDocument",
     "Caller",
     "Configuration",
@@ -24,13 +27,24 @@
     "Workspace",
 ]
 
-_STRICT = ConfigDict(extra="forbid")
+# Name of the base among the documents; an overlay has the name of its site.
+BASE = "base"
+
+# Tables of named entries that both the base and an overlay may hold.
+SECTIONS = ("operators", "workspaces", "callers", "deployments", "services")
+
+_STRICT = ConfigDict(extra="forbid", allow_inf_nan=False)
+_LARGEST = 1_000_000_000
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+# Site that a base's entry belongs to, "" for one that the sites share.
+OwnerSite = Annotated[str, Field(pattern=r"^([a-z0-9][a-z0-9._-]{0,62})?$")]
 KeyHash = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
-Positive = Annotated[int, Field(gt=0)]
-PositiveSeconds = Annotated[float, Field(gt=0)]
-Share = Annotated[float, Field(ge=0, le=1)]
+Flag = Annotated[bool, Field(strict=True)]
+Positive = Annotated[int, Field(gt=0, le=_LARGEST, strict=True)]
+PositiveNumber = Annotated[float, Field(gt=0, le=_LARGEST, strict=True)]
+PositiveSeconds = PositiveNumber
+Share = Annotated[float, Field(ge=0, le=1, strict=True)]
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -69,8 +83,9 @@
     """Share and limits of one workspace."""
 
     # Weight in the fair queue.
-    weight: PositiveSeconds = 1.0
+    weight: PositiveNumber = 1.0
     max_in_flight: Positive = 1000
+    site: OwnerSite = ""
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -79,6 +94,7 @@
 
     workspace: Name
     key_sha256: KeyHash
+    site: OwnerSite = ""
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -87,7 +103,9 @@
 
     key_sha256: KeyHash
     # May change the base document.
-    may_change_base: bool = False
+    may_change_base: Flag = False
+    # Site whose overlay the operator may change.
+    site: OwnerSite = ""
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -109,7 +127,8 @@
     zones: tuple[Name, ...] = ()
     machine: str = ""
     # Whether its engines refuse an order with an old fencing number.
-    checks_fencing: bool = True
+    checks_fencing: Flag = True
+    site: OwnerSite = ""
 
     @property
     def model_key(self) -> ModelKey:
@@ -123,8 +142,9 @@
 
     workspaces: tuple[Name, ...]
     # Whether a call may run more than once.
-    is_repeatable: bool = False
+    is_repeatable: Flag = False
     timeout_seconds: PositiveSeconds = 30.0
+    site: OwnerSite = ""
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -169,3 +189,13 @@
     callers: dict[Name, Caller] = field(default_factory=dict)
     deployments: dict[Name, Deployment] = field(default_factory=dict)
     services: dict[Name, Service] = field(default_factory=dict)
+
+    @cached_property
+    def callers_by_key(self) -> dict[str, str]:
+        """Names of the callers by the hashes of their keys."""
+        return {caller.key_sha256: name for name, caller in self.callers.items()}
+
+    @cached_property
+    def operators_by_key(self) -> dict[str, str]:
+        """Names of the operators by the hashes of their keys."""
+        return {entry.key_sha256: name for name, entry in self.operators.items()}
--- a/src/pepperstep/fakes/__init__.py
+++ b/src/pepperstep/fakes/__init__.py
@@ -5,15 +5,29 @@
 """
 
 from pepperstep.fakes.agreement import FakeAgreement, FakeLog
+from pepperstep.fakes.directory import FakeDirectory
 from pepperstep.fakes.network import FakeNetwork, FakePeers
 from pepperstep.fakes.storage import FakeDisk
 from pepperstep.fakes.timers import FakeTimers
+from pepperstep.fakes.upstreams import (
+    FakeEngine,
+    FakeService,
+    FakeUpstreams,
+    answer_of,
+    answer_token,
+)
 
 __all__ = [
     "FakeAgreement",
+    "FakeDirectory",
     "FakeDisk",
+    "FakeEngine",
     "FakeLog",
     "FakeNetwork",
     "FakePeers",
+    "FakeService",
     "FakeTimers",
+    "FakeUpstreams",
+    "answer_of",
+    "answer_token",
 ]
--- a/src/pepperstep/fakes/network.py
+++ b/src/pepperstep/fakes/network.py
@@ -27,7 +27,7 @@
         # Shares of messages that are lost, and that arrive twice.
         self.loss = 0.0
         self.duplication = 0.0
-        # Messages sent, by kind.
+        # Messages and answers sent, by kind.
         self.sent: Counter[str] = Counter()
         self.bytes_sent: Counter[str] = Counter()
         self._peers: dict[str, FakePeers] = {}
@@ -60,6 +60,12 @@
         """Whether messages on this way are lost now."""
         return (sender, receiver) in self._cuts
 
+    def count(self, message: Message, data: bytes) -> None:
+        """Count a message or an answer as sent."""
+        kind = message.DESCRIPTOR.name
+        self.sent[kind] += 1
+        self.bytes_sent[kind] += len(data)
+
     async def carry(self, sender: str, receiver: str) -> "FakePeers | None":
         """Wait for a message's way; None if it got lost."""
         await trio.sleep(self.rng.uniform(self.min_delay, self.max_delay))
@@ -96,9 +102,7 @@
         """Return the answer of `peer`, or raise `Failure`."""
         await self._timers.wait_running()
         data = codec.encode(message, self.name)
-        kind = message.DESCRIPTOR.name
-        self._network.sent[kind] += 1
-        self._network.bytes_sent[kind] += len(data)
+        self._network.count(message, data)
         answer: bytes | None = None
         with trio.move_on_after(timeout):
             answer = await self._exchange(peer, data)
@@ -118,7 +122,9 @@
             answer = await handler(message, sender)
         except Failure as failure:
             return codec.encode_failure(failure, self.name)
-        return codec.encode(answer, self.name)
+        data = codec.encode(answer, self.name)
+        self._network.count(answer, data)
+        return data
 
     async def _exchange(self, peer: str, data: bytes) -> bytes:
         receiver = await self._network.carry(self.name, peer)
--- a/src/pepperstep/ports/__init__.py
+++ b/src/pepperstep/ports/__init__.py
@@ -10,6 +10,7 @@
     ReclaimNotice,
     StartRefused,
 )
+from pepperstep.ports.directory import Directory
 from pepperstep.ports.peers import PeerNetwork
 from pepperstep.ports.storage import Storage
 from pepperstep.ports.timers import Timers
@@ -33,6 +34,7 @@
     "CacheExport",
     "Cloud",
     "CloudHost",
+    "Directory",
     "EndMark",
     "GenerateOrder",
     "HostState",
--- /dev/null
+++ b/src/pepperstep/requests/__init__.py
@@ -0,0 +1,8 @@
+"""Requests that survive: acceptance, attempts, takeover and answers."""
+
+from pepperstep.requests.links import LINK_MACHINE, LinkMachine
+from pepperstep.requests.reader import Part
+from pepperstep.requests.run import Run
+from pepperstep.requests.service import RequestService
+
+__all__ = ["LINK_MACHINE", "LinkMachine", "Part", "RequestService", "Run"]
