Documents of the configuration and the machine that agrees on them

Cause: an overlay must set single values of the base's entries, and no partner may reach into another's names. Ruled out: letting any overlay set any base entry, since one partner could then take over what the base runs for the other; the base names the site of an entry that an overlay may set.

--- /dev/null
+++ b/src/pepperstep/configuration/changes.py
@@ -0,0 +1,117 @@
+"""Changes of a document, and the answers that operators get."""
+
+import enum
+import hashlib
+from dataclasses import dataclass
+
+from pepperstep.configuration.splices import make_splice
+from pepperstep.errors import Finding
+from pepperstep.proto import configuration_pb2
+
+__all__ = [
+    "Change",
+    "ChangeAnswer",
+    "ChangeStatus",
+    "Winner",
+    "decode_answer",
+    "encode_change",
+    "text_digest",
+]
+
+
+class ChangeStatus(enum.StrEnum):
+    """How a change ended."""
+
+    # Committed, and in force everywhere within seconds.
+    ACCEPTED = "accepted"
+    # Another change came first, or the change names a revision to come.
+    CONFLICT = "conflict"
+    # The documents would not be valid together.
+    INVALID = "invalid"
+    # The operator may not change this document.
+    FORBIDDEN = "forbidden"
+    # The change's id was used for another change.
+    ID_REUSED = "id_reused"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A document's new text, as an operator sends it.
+
+    A resend carries the same `change_id`, which is unique for an operator.
+    """
+
+    change_id: str
+    # "base", or a site for its overlay.
+    document: str
+    # Whole text; "" removes an overlay.
+    text: str
+    # Revision at which the operator read the document, 0 for none.
+    from_revision: int
+    operator: str
+    # Site of the operator, "" for one of the base.
+    site: str
+
+
+@dataclass(frozen=True, slots=True)
+class Winner:
+    """The change that stands in place of a refused one."""
+
+    revision: int
+    change_id: str
+    operator: str
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeAnswer:
+    """How a change ended, the same for each resend."""
+
+    status: ChangeStatus
+    # Revision that the change made, or that stood when it was refused.
+    revision: int
+    winner: Winner | None = None
+    findings: tuple[Finding, ...] = ()
+
+    @property
+    def is_accepted(self) -> bool:
+        """Whether the change was committed."""
+        return self.status == ChangeStatus.ACCEPTED
+
+
+def text_digest(text: str) -> bytes:
+    """Return the SHA-256 of a document's text."""
+    return hashlib.sha256(text.encode()).digest()
+
+
+def encode_change(change: Change, last_text: str | None = None) -> bytes:
+    """Return the command for `change`.
+
+    With `last_text`, the document's text at `from_revision`, the command holds
+    only what differs from it.
+    """
+    command = configuration_pb2.ChangeCommand(
+        change_id=change.change_id,
+        document=change.document,
+        from_revision=change.from_revision,
+        operator=change.operator,
+        site=change.site,
+        digest=text_digest(change.text),
+    )
+    if last_text is None:
+        command.text = change.text
+    else:
+        command.splice.CopyFrom(make_splice(last_text, change.text))
+    return command.SerializeToString()
+
+
+def decode_answer(data: bytes) -> ChangeAnswer:
+    """Return the answer that a command's result holds."""
+    result = configuration_pb2.ChangeResult.FromString(data)
+    winner = None
+    if result.HasField("winner"):
+        record = result.winner
+        winner = Winner(record.revision, record.change_id, record.operator)
+    findings = tuple(
+        Finding(found.file, found.path, found.text) for found in result.findings
+    )
+    return ChangeAnswer(ChangeStatus(result.status), result.revision, winner, findings)
--- /dev/null
+++ b/src/pepperstep/configuration/machine.py
@@ -0,0 +1,285 @@
+"""The agreed configuration: changes applied in the order of the log.
+
+The first change of a document from a revision wins. An operator's resend of a
+change gets the first answer again, from a table of bounded size.
+"""
+
+import hashlib
+from collections import deque
+from collections.abc import Callable, Mapping
+
+from google.protobuf.message import DecodeError
+
+from pepperstep.configuration.changes import ChangeStatus, text_digest
+from pepperstep.configuration.documents import merge, parse
+from pepperstep.configuration.keys import may_change
+from pepperstep.configuration.schema import BASE, Configuration
+from pepperstep.configuration.splices import apply_splice
+from pepperstep.configuration.versions import DocumentVersions
+from pepperstep.errors import Code, Failure, Finding, InvalidDocument
+from pepperstep.proto.configuration_pb2 import (
+    ChangeCommand,
+    ChangeFinding,
+    ChangeRecord,
+    ChangeResult,
+    ConfigurationState,
+    DocumentChange,
+    RecordedAnswer,
+)
+
+__all__ = ["MACHINE_NAME", "ConfigurationMachine", "merge_texts"]
+
+# Name under which the machine is registered with the log.
+MACHINE_NAME = "configuration"
+
+# Answers kept for resends: for each site, and by the revisions since.
+_ANSWERS_PER_SITE = 4096
+_ANSWER_REVISIONS = 65_536
+
+_MAX_FINDINGS = 50
+# All documents together, so that they fit one message to a peer.
+_MAX_TOTAL_BYTES = 3 * 1024 * 1024
+
+
+def merge_texts(texts: Mapping[str, str], revision: int) -> Configuration:
+    """Return the configuration of documents by name, some of them empty.
+
+    Raise `InvalidDocument` with all findings.
+    """
+    documents = []
+    findings: list[Finding] = []
+    for name, text in sorted(texts.items()):
+        if not text and name != BASE:
+            continue
+        try:
+            documents.append(parse(text, name))
+        except InvalidDocument as error:
+            findings += error.findings
+    base = [document for document in documents if document.name == BASE]
+    if findings or not base:
+        raise InvalidDocument(findings or [Finding(BASE, "document", "is missing")])
+    overlays = [document for document in documents if document.name != BASE]
+    return merge(base[0], overlays, revision)
+
+
+class ConfigurationMachine:
+    """Machine of the configuration on a control host.
+
+    `on_change` is called after each accepted change and after a restore.
+    """
+
+    def __init__(self, on_change: Callable[[], None] = lambda: None):
+        self.on_change = on_change
+        self._versions = DocumentVersions()
+        self._configuration = Configuration()
+        self._changes: dict[str, ChangeRecord] = {}
+        self._answers = _AnswerTable()
+
+    @property
+    def versions(self) -> DocumentVersions:
+        """Texts of the documents in force."""
+        return self._versions
+
+    @property
+    def configuration(self) -> Configuration:
+        """The documents merged."""
+        return self._configuration
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Carry out a `ChangeCommand`, return a `ChangeResult`."""
+        try:
+            change = ChangeCommand.FromString(command)
+        except DecodeError:
+            return _invalid(0, [Finding("", "command", "is damaged")])
+        recorded = self._answers.find(change)
+        if recorded is not None:
+            return recorded
+        result = self._decide(change)
+        self._answers.record(change, result, self._versions.revision)
+        if result.status == ChangeStatus.ACCEPTED:
+            self.on_change()
+        return result.SerializeToString()
+
+    def snapshot(self) -> bytes:
+        """Return a `ConfigurationState`."""
+        state = ConfigurationState(
+            revision=self._versions.revision,
+            texts=self._versions.changed_texts(),
+            answers=self._answers.records(),
+        )
+        for name, record in sorted(self._changes.items()):
+            state.changes.append(DocumentChange(name=name, record=record))
+        return state.SerializeToString()
+
+    def restore(self, data: bytes) -> None:
+        """Take the state of a snapshot; raise `Failure` if it can't be read."""
+        try:
+            state = ConfigurationState.FromString(data)
+        except DecodeError as error:
+            text = "The configuration's snapshot can't be read."
+            raise Failure(Code.CORRUPT_STORAGE, text) from error
+        self._versions.restore(state.revision, state.texts)
+        self._changes = {change.name: change.record for change in state.changes}
+        self._answers = _AnswerTable(state.answers)
+        self._configuration = Configuration()
+        if state.revision:
+            self._configuration = merge_texts(self._texts(), state.revision)
+        self.on_change()
+
+    def _decide(self, change: ChangeCommand) -> ChangeResult:
+        revision = self._versions.revision
+        if not self._is_authorized(change):
+            return ChangeResult(status=ChangeStatus.FORBIDDEN, revision=revision)
+        record = self._changes.get(change.document, ChangeRecord())
+        if _repeats(change, record):
+            return ChangeResult(
+                status=ChangeStatus.ACCEPTED, revision=record.revision, winner=record
+            )
+        if not record.revision <= change.from_revision <= revision:
+            return ChangeResult(
+                status=ChangeStatus.CONFLICT, revision=revision, winner=record
+            )
+        try:
+            return self._accept(change, self._text_of(change))
+        except InvalidDocument as error:
+            return _invalid_result(revision, error.findings)
+
+    def _is_authorized(self, change: ChangeCommand) -> bool:
+        if not self._versions.revision:
+            return change.document == BASE
+        return may_change(
+            self._configuration, change.operator, change.site, change.document
+        )
+
+    def _text_of(self, change: ChangeCommand) -> str:
+        if change.WhichOneof("content") == "text":
+            text = change.text
+        else:
+            last = self._versions.text_of(change.document)
+            text = apply_splice(last, change.splice)
+        if text_digest(text) != change.digest:
+            fault = "is not what was sent"
+            raise InvalidDocument([Finding(change.document, "document", fault)])
+        return text
+
+    def _accept(self, change: ChangeCommand, text: str) -> ChangeResult:
+        texts = {**self._texts(), change.document: text}
+        if sum(len(value.encode()) for value in texts.values()) > _MAX_TOTAL_BYTES:
+            fault = f"makes all documents longer than {_MAX_TOTAL_BYTES} bytes"
+            raise InvalidDocument([Finding(change.document, "document", fault)])
+        configuration = merge_texts(texts, self._versions.revision + 1)
+        if change.document == BASE:
+            _check_operator_stays(configuration, change.operator)
+        revision = self._versions.put(change.document, text)
+        self._configuration = configuration
+        self._changes[change.document] = ChangeRecord(
+            revision=revision,
+            from_revision=change.from_revision,
+            change_id=change.change_id,
+            operator=change.operator,
+            digest=change.digest,
+        )
+        return ChangeResult(status=ChangeStatus.ACCEPTED, revision=revision)
+
+    def _texts(self) -> dict[str, str]:
+        return {name: version.text for name, version in self._versions.texts.items()}
+
+
+class _AnswerTable:
+    """Answers to the last changes of each site."""
+
+    def __init__(self, records: list[RecordedAnswer] = ()):
+        self._records: dict[tuple[str, str], RecordedAnswer] = {}
+        # Keys of the records by site, oldest first.
+        self._orders: dict[str, deque[tuple[str, str]]] = {}
+        for record in records:
+            self._add(record)
+
+    def find(self, change: ChangeCommand) -> bytes | None:
+        """Return the answer that the change got before."""
+        record = self._records.get((change.operator, change.change_id))
+        if record is None:
+            return None
+        if record.digest == _change_digest(change):
+            return record.result
+        result = ChangeResult(status=ChangeStatus.ID_REUSED, revision=record.revision)
+        return result.SerializeToString()
+
+    def record(
+        self, change: ChangeCommand, result: ChangeResult, revision: int
+    ) -> None:
+        """Keep an answer, and drop those that are too many or too old."""
+        record = RecordedAnswer(
+            site=change.site,
+            operator=change.operator,
+            change_id=change.change_id,
+            digest=_change_digest(change),
+            revision=revision,
+            result=result.SerializeToString(),
+        )
+        self._add(record)
+        for site in sorted(self._orders):
+            self._prune(site, revision)
+
+    def records(self) -> list[RecordedAnswer]:
+        """Return all that is kept, oldest first for each site."""
+        return [
+            self._records[key]
+            for site in sorted(self._orders)
+            for key in self._orders[site]
+        ]
+
+    def _add(self, record: RecordedAnswer) -> None:
+        key = (record.operator, record.change_id)
+        self._records[key] = record
+        self._orders.setdefault(record.site, deque()).append(key)
+
+    def _prune(self, site: str, revision: int) -> None:
+        order = self._orders[site]
+        while order and self._is_surplus(order, revision):
+            del self._records[order.popleft()]
+        if not order:
+            del self._orders[site]
+
+    def _is_surplus(self, order: deque[tuple[str, str]], revision: int) -> bool:
+        oldest = self._records[order[0]].revision
+        return len(order) > _ANSWERS_PER_SITE or revision - oldest > _ANSWER_REVISIONS
+
+
+def _change_digest(change: ChangeCommand) -> bytes:
+    """Return a hash that is equal for resends, sent whole or as a splice."""
+    parts = (change.document, str(change.from_revision), change.site)
+    digest = hashlib.sha256("\0".join(parts).encode())
+    digest.update(change.digest)
+    return digest.digest()
+
+
+def _repeats(change: ChangeCommand, record: ChangeRecord) -> bool:
+    """Whether another change id brings what has already won."""
+    return (
+        record.revision > 0
+        and change.from_revision == record.from_revision
+        and change.digest == record.digest
+    )
+
+
+def _check_operator_stays(configuration: Configuration, operator: str) -> None:
+    entry = configuration.operators.get(operator)
+    if entry is None or not entry.may_change_base:
+        text = f"{operator or 'the operator'} could not change the base any more"
+        raise InvalidDocument([Finding(BASE, "operators", text)])
+
+
+def _invalid(revision: int, findings: list[Finding]) -> bytes:
+    return _invalid_result(revision, findings).SerializeToString()
+
+
+def _invalid_result(revision: int, findings: list[Finding]) -> ChangeResult:
+    return ChangeResult(
+        status=ChangeStatus.INVALID,
+        revision=revision,
+        findings=[
+            ChangeFinding(file=found.file, path=found.path, text=found.text)
+            for found in findings[:_MAX_FINDINGS]
+        ],
+    )
