Agreement says how long its lease still holds

Cause: an order's time to live must be shorter than what is left of the leader's lease, and the port only told whether one holds. Tested: tests/consensus/test_log.py passes. Conclusion: lease_remaining stands in the port, the replicated log and the fake; has_lease follows from it.

--- a/src/pepperstep/consensus/leadership.py
+++ b/src/pepperstep/consensus/leadership.py
@@ -79,9 +79,15 @@
     @property
     def has_lease(self) -> bool:
         """Whether no other host can have been elected by now."""
+        return self.lease_remaining > 0
+
+    @property
+    def lease_remaining(self) -> float:
+        """Seconds for which no other host can be elected from now on, 0 if any."""
         if not self.is_active:
-            return False
-        return self._timers.now() < self.quorum_contact + self._tuning.lease
+            return 0.0
+        ends_at = self.quorum_contact + self._tuning.lease
+        return max(0.0, ends_at - self._timers.now())
 
     @property
     def quorum_contact(self) -> float:
--- a/src/pepperstep/consensus/node.py
+++ b/src/pepperstep/consensus/node.py
@@ -86,6 +86,11 @@
         """Whether this host leads, its lease holds, and its machines are current."""
         return self._has_lease and self._leadership.is_ready
 
+    @property
+    def lease_remaining(self) -> float:
+        """Seconds for which this host surely leads from now on, 0 if it doesn't."""
+        return self._leadership.lease_remaining if self.is_leader else 0.0
+
     @property
     def term(self) -> int:
         """Latest term that this host knows."""
--- a/src/pepperstep/consensus/remote.py
+++ b/src/pepperstep/consensus/remote.py
@@ -41,6 +41,11 @@
         """Never: this host has no log."""
         return False
 
+    @property
+    def lease_remaining(self) -> float:
+        """Always 0: this host has no log."""
+        return 0.0
+
     @property
     def term(self) -> int:
         """Latest term that a control host has answered."""
--- a/src/pepperstep/fakes/agreement.py
+++ b/src/pepperstep/fakes/agreement.py
@@ -17,6 +17,7 @@
         self.entries: list[tuple[str, bytes]] = []
         self.leader = ""
         self.term = 1
+        self.lease = 1.0
         # False while no quorum can be reached.
         self.has_quorum = True
         # Commit each proposal this many times, as a repeat after a lost reply.
@@ -53,6 +54,11 @@
         """Whether the test made this host the leader."""
         return self._log.leader == self._host and not self._is_cut
 
+    @property
+    def lease_remaining(self) -> float:
+        """Length that the test set, while this host leads."""
+        return self._log.lease if self.is_leader else 0.0
+
     @property
     def term(self) -> int:
         """Term that the test set."""
--- a/src/pepperstep/ports/agreement.py
+++ b/src/pepperstep/ports/agreement.py
@@ -33,6 +33,10 @@
     def is_leader(self) -> bool:
         """Whether this host leads and its lease holds now."""
 
+    @property
+    def lease_remaining(self) -> float:
+        """Seconds for which this host surely leads from now on, 0 if it doesn't."""
+
     @property
     def term(self) -> int:
         """Latest term that this host knows."""
