--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -2,25 +2,23 @@
 
 import sys
 import time
-import urllib.request
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import openai
 import tomli_w
 
+from demo.documents import CALLER_KEY, base_document
 from demo.launcher import (
-    UPSTREAM_KEY,
     DaemonPlace,
     EnginePlace,
     Launcher,
     free_ports,
-    key_hash,
+    wait_ready,
 )
 from standins.text import answer_tokens
 
 ZONES = ("sapporo-hall", "asahikawa-hall", "hakodate-hall")
-CALLER_KEY = "demo-caller-key"
 FOLDER = Path(__file__).parent / "run"
 
 
@@ -39,13 +37,13 @@
     ]
     FOLDER.mkdir(exist_ok=True)
     base = FOLDER / "base.toml"
-    base.write_text(tomli_w.dumps(_base_document()))
+    base.write_text(tomli_w.dumps(base_document()))
     with Launcher(FOLDER) as launcher:
         for place in daemons:
             launcher.start_daemon(place, daemons, base)
         for place in engines:
             launcher.start_engine(place, [each.url for each in daemons])
-        _wait_ready(daemons)
+        wait_ready(daemons)
         time.sleep(2)
         return _run_load(launcher, daemons)
 
@@ -80,34 +78,5 @@
     return text == "".join(right)
 
 
-def _wait_ready(daemons: list[DaemonPlace]) -> None:
-    for place in daemons:
-        for _ in range(200):
-            try:
-                urllib.request.urlopen(f"{place.url}/readyz", timeout=1).close()
-            except OSError:
-                time.sleep(0.1)
-            else:
-                break
-
-
-def _base_document() -> dict:
-    return {
-        "sites": {"kitahara": {"regions": ["dosanko"]}},
-        "upstream_keys": [key_hash(UPSTREAM_KEY)],
-        "workspaces": {"planners": {}},
-        "callers": {
-            "desk": {"workspace": "planners", "key_sha256": key_hash(CALLER_KEY)}
-        },
-        "deployments": {
-            "zaseki-model": {
-                "model": "zaseki-7b",
-                "version": "1",
-                "workspaces": ["planners"],
-            }
-        },
-    }
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/demo/launcher.py
+++ b/demo/launcher.py
@@ -5,12 +5,21 @@
 import socket
 import subprocess
 import sys
+import time
+import urllib.request
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import tomli_w
 
-__all__ = ["DaemonPlace", "EnginePlace", "Launcher", "free_ports", "key_hash"]
+__all__ = [
+    "DaemonPlace",
+    "EnginePlace",
+    "Launcher",
+    "free_ports",
+    "key_hash",
+    "wait_ready",
+]
 
 UPSTREAM_KEY = "demo-upstream-key"
 
@@ -29,6 +38,24 @@
     return ports
 
 
+def wait_ready(daemons: list["DaemonPlace"], seconds: float = 20.0) -> None:
+    """Return when all daemons are ready; raise TimeoutError after `seconds`."""
+    give_up_at = time.monotonic() + seconds
+    for place in daemons:
+        while not _is_ready(place.url):
+            if time.monotonic() > give_up_at:
+                raise TimeoutError(f"{place.name} is not ready.")
+            time.sleep(0.1)
+
+
+def _is_ready(url: str) -> bool:
+    try:
+        with urllib.request.urlopen(f"{url}/readyz", timeout=1) as answer:
+            return answer.status == 200
+    except OSError:
+        return False
+
+
 @dataclass(frozen=True)
 class DaemonPlace:
     """A daemon's name, place and addresses."""
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: policies, relay cost and capacity (`pepperstep-measure`)."""
--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,44 @@
+"""Jobs import ports, never adapters or fakes."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+import pepperstep
+
+ROOT = Path(pepperstep.__file__).parent
+JOBS = (
+    "claims",
+    "configuration",
+    "consensus",
+    "entities",
+    "fleet",
+    "membership",
+    "observability",
+    "ports",
+    "requests",
+    "routing",
+)
+MODULES = sorted(path for job in JOBS for path in (ROOT / job).glob("**/*.py"))
+
+
+def _imported_names(path: Path) -> set[str]:
+    names = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom):
+            names.add(node.module or "")
+    return names
+
+
+@pytest.mark.parametrize("path", MODULES, ids=lambda path: str(path.relative_to(ROOT)))
+def test_job_imports_no_adapter(path):
+    outside = ("pepperstep.adapters", "pepperstep.fakes", "grpc", "httpcore")
+    outside += ("hypercorn", "socket", "time", "asyncio")
+    assert not [
+        name
+        for name in _imported_names(path)
+        if name in outside or name.startswith(tuple(f"{each}." for each in outside))
+    ]
