Requests: doubled chunks are dropped and counted

A chunk that came before broke its attempt, which was then repeated elsewhere. It is dropped now where its tokens agree with the first ones; a gap, other tokens at a known position, and chunks of other attempts still break the attempt. Each is reported to the recorder.

--- a/src/pepperstep/requests/driver.py
+++ b/src/pepperstep/requests/driver.py
@@ -4,6 +4,7 @@
 
 from pepperstep.entities import Outcome, Request, RequestKind
 from pepperstep.errors import Code, Execution, Failure
+from pepperstep.observability.recorder import NullRecorder, Recorder
 from pepperstep.ports import (
     EndMark,
     GenerateOrder,
@@ -34,11 +35,13 @@
         upstreams: UpstreamClient,
         journal: Journal,
         timers: Timers,
+        recorder: Recorder | None = None,
     ):
         self._router = router
         self._upstreams = upstreams
         self._journal = journal
         self._timers = timers
+        self._recorder = recorder or NullRecorder()
 
     async def run(self, run: Run) -> None:
         """Return once the run has an outcome or another host owns it."""
@@ -106,17 +109,19 @@
 
     async def _generate(self, run: Run, placement: Placement) -> Outcome:
         order = _order_of(run)
-        check = AnswerCheck(order.attempt_id, len(run.tokens))
+        check = AnswerCheck(order.attempt_id, run.tokens, self._recorder)
         async with self._upstreams.generate(placement.upstream, order) as chunks:
             async for chunk in chunks:
                 if isinstance(chunk, EndMark):
                     check.check_end(chunk)
                     placement.note_answered(chunk)
                     return Outcome(finish=chunk.finish)
-                check.check_chunk(chunk)
+                tokens = check.check_chunk(chunk)
+                if not tokens:
+                    continue
                 is_first = not run.tokens
-                run.tokens.extend(chunk.tokens)
-                placement.note_tokens(len(chunk.tokens))
+                run.tokens.extend(tokens)
+                placement.note_tokens(len(tokens))
                 self._journal.mark(run, is_urgent=is_first)
         raise UpstreamLost("The answer ended without an end mark.")
 
