Callers' and operators' HTTP interface with limits and typed errors

Cause: wrong input could get an internal error (a failure that was raised while a caller was read for came out wrapped in an exception group), answers lacked usage counts and resumed completions came back as chats, headers were not checked, and nothing limited connections. Now: each call is read by Intake, which refuses with a code; failures cross the nursery unwrapped; a request's id tells its kind; x-should-retry is true only for what has not run and has a time to return of at most 60 s; a refused body is read on for a moment, as closing would take the refusal from its sender; connections are counted before hypercorn's protocol gets them; the system cuts connections whose caller takes nothing for 30 s. Ruled out: hypercorn's own serve(), which can't count connections; a send timeout in the application, as hypercorn shields sends from cancellation. Tested: tests/api (tables of bad input, fuzz of bodies, headers and paths, the openai client and TLS on loopback).

--- a/src/pepperstep/adapters/http_api/announcements.py
+++ b/src/pepperstep/adapters/http_api/announcements.py
@@ -1,29 +1,66 @@
 """Announcements of upstreams, as they come over HTTP (docs/INTERFACES.md)."""
 
+from typing import Annotated
+
 import msgspec
 
+from pepperstep.adapters.http_api.web import decode_body
 from pepperstep.entities import Load, ModelKey, Role, Upstream, UpstreamKind
 from pepperstep.errors import Code, Failure
 
-__all__ = ["Announcement", "parse_announcement"]
+__all__ = ["Announcement", "AnnouncementAnswer", "parse_announcement"]
+
+_Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$")]
+_Label = Annotated[str, msgspec.Meta(max_length=128)]
+_Address = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9.-]{1,253}:[0-9]{1,5}$")]
+_Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+_Requests = Annotated[int, msgspec.Meta(ge=0, le=10_000_000)]
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
+_MAX_PORT = 65_535
+_MAX_MODELS = 1000
+_IDLE = Load()
+
+
+class ModelName(msgspec.Struct):
+    """A model that is loaded, with its adapter and version."""
+
+    model: Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+    adapter: _Label = ""
+    version: _Label = ""
+
+
+class LoadReport(msgspec.Struct):
+    """Load as the upstream sees it."""
+
+    running: _Requests = 0
+    waiting: _Requests = 0
+    prefill_seconds: _Seconds = _IDLE.prefill_seconds
+    decode_seconds: _Seconds = _IDLE.decode_seconds
+
+    def to_load(self) -> Load:
+        """Return the load."""
+        return Load(
+            self.running, self.waiting, self.prefill_seconds, self.decode_seconds
+        )
 
 
 class Announcement(msgspec.Struct):
     """One heartbeat of an upstream's lease."""
 
-    name: str
-    epoch: int
-    sequence: int
-    address: str
+    name: _Name
+    epoch: _Number
+    sequence: _Number
+    address: _Address
     kind: UpstreamKind
-    host: str
-    zone: str
-    region: str = ""
-    service: str = ""
-    models: list[ModelKey] = []
-    slots: int = 16
+    host: _Name
+    zone: _Name
+    region: _Label = ""
+    service: _Label = ""
+    models: Annotated[list[ModelName], msgspec.Meta(max_length=_MAX_MODELS)] = []
+    slots: _Slots = 16
     role: Role = Role.MIXED
-    load: Load = Load()
+    load: LoadReport = msgspec.field(default_factory=LoadReport)
     is_leaving: bool = False
     checks_fencing: bool = True
     is_reclaimable: bool = True
@@ -39,22 +76,39 @@
             zone=self.zone,
             region=self.region,
             service=self.service,
-            models=frozenset(self.models),
+            models=frozenset(
+                ModelKey(each.model, each.adapter, each.version) for each in self.models
+            ),
             slots=self.slots,
             role=self.role,
-            load=self.load,
+            load=self.load.to_load(),
             is_leaving=self.is_leaving,
             checks_fencing=self.checks_fencing,
             is_reclaimable=self.is_reclaimable,
         )
 
 
+class AnnouncementAnswer(msgspec.Struct):
+    """What an upstream is told."""
+
+    lease_seconds: float
+    # Base URLs at which it may announce itself.
+    entry_hosts: list[str]
+
+
 _decode = msgspec.json.Decoder(Announcement).decode
 
 
 def parse_announcement(data: bytes) -> Announcement:
     """Return the announcement, or raise `Failure` with `INVALID_REQUEST`."""
-    try:
-        return _decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise Failure(Code.INVALID_REQUEST, f"Announcement: {error}") from error
+    announcement = decode_body(_decode, data, "Announcement")
+    if int(announcement.address.rpartition(":")[2]) > _MAX_PORT:
+        raise _invalid("`address` has no valid port")
+    is_service = announcement.kind is UpstreamKind.SERVICE
+    if is_service != bool(announcement.service):
+        raise _invalid("`service` must name the service, and be empty for engines")
+    return announcement
+
+
+def _invalid(text: str) -> Failure:
+    return Failure(Code.INVALID_REQUEST, f"Announcement: {text}.")
--- a/src/pepperstep/adapters/http_api/app.py
+++ b/src/pepperstep/adapters/http_api/app.py
@@ -2,11 +2,15 @@
 
 from collections.abc import Awaitable, Callable
 
-import prometheus_client
 from absl import logging
 
-from pepperstep.adapters.http_api.announcements import parse_announcement
-from pepperstep.adapters.http_api.calls import CallerRoutes
+from pepperstep.adapters.http_api.announcements import (
+    AnnouncementAnswer,
+    parse_announcement,
+)
+from pepperstep.adapters.http_api.calls import CallerRoutes, entry_hosts_near
+from pepperstep.adapters.http_api.operators import PREFIX, OperatorRoutes
+from pepperstep.adapters.http_api.ports import EntryNode, Operators
 from pepperstep.adapters.http_api.web import (
     Call,
     Reply,
@@ -15,22 +19,33 @@
     send_reply,
 )
 from pepperstep.configuration import is_upstream_key
-from pepperstep.errors import Code, Failure
-from pepperstep.node import Node
+from pepperstep.errors import Code, Execution, Failure
+from pepperstep.observability import Metrics
 
 __all__ = ["Api"]
 
-_MAX_ANNOUNCEMENT_BYTES = 64 * 1024
+_MAX_ANNOUNCEMENT_BYTES = 256 * 1024
+# Codes by which a host sends callers to others.
+_SENDS_AWAY = frozenset({Code.DRAINING, Code.NOT_READY})
 
 Route = Callable[[Call], Awaitable[Reply | None]]
 
 
 class Api:
-    """ASGI application of one host."""
+    """ASGI application of one host.
+
+    Without `operators` there are no routes for these.
+    """
 
-    def __init__(self, node: Node):
+    def __init__(
+        self,
+        node: EntryNode,
+        metrics: Metrics | None = None,
+        operators: Operators | None = None,
+    ):
         self._node = node
-        callers = CallerRoutes(node)
+        self._metrics = metrics or Metrics()
+        callers = CallerRoutes(node, self._metrics)
         self._exact: dict[tuple[str, str], Route] = {
             ("POST", "/v1/chat/completions"): callers.chat,
             ("POST", "/v1/completions"): callers.complete,
@@ -45,25 +60,40 @@
             ("/v1/requests/", callers.resume),
             ("/services/", callers.call_service),
         ]
+        if operators is not None:
+            self._prefixes.append((PREFIX, OperatorRoutes(node, operators).answer))
 
     async def __call__(self, scope: dict, receive, send) -> None:
         if scope["type"] == "lifespan":
             await _serve_lifespan(receive, send)
             return
-        if scope["type"] != "http":
+        if scope["type"] == "websocket":
+            await send({"type": "websocket.close"})
             return
         call = Call(scope, receive, send)
         try:
             reply = await self._route_of(call)(call)
         except Failure as failure:
-            await send_failure(send, failure)
+            await self._refuse(call, failure)
         except Exception:
-            logging.exception("api: %s %s failed.", call.method, call.path)
-            await send_failure(send, Failure(Code.INTERNAL, "Internal error."))
+            logging.exception("api: %s %r failed.", call.method, call.path)
+            failure = Failure(
+                Code.INTERNAL, "Internal error.", execution=Execution.MAY_HAVE_RUN
+            )
+            await self._refuse(call, failure)
         else:
             if reply is not None:
                 await send_reply(send, reply)
 
+    async def _refuse(self, call: Call, failure: Failure) -> None:
+        self._metrics.note_refused(failure.code)
+        others: tuple[str, ...] = ()
+        if failure.code in _SENDS_AWAY:
+            hosts = entry_hosts_near(self._node)
+            own = self._node.host.name
+            others = tuple(host.caller_url for host in hosts if host.name != own)
+        await send_failure(call, failure, others)
+
     def _route_of(self, call: Call) -> Route:
         route = self._exact.get((call.method, call.path))
         if route is not None:
@@ -71,18 +101,25 @@
         for prefix, prefix_route in self._prefixes:
             if call.path.startswith(prefix):
                 return prefix_route
-        raise Failure(Code.UNKNOWN_NAME, f"No such path: {call.method} {call.path}.")
+        text = f"No such path: {call.method} {call.path[:200]}."
+        raise Failure(Code.UNKNOWN_NAME, text)
 
     async def _announce(self, call: Call) -> Reply:
-        if not is_upstream_key(self._node.configuration, call.key):
+        configuration = self._node.configuration
+        if not configuration.revision:
+            raise Failure(
+                Code.NOT_READY, "No configuration is known here yet.", retry_after=1.0
+            )
+        call.check_headers(configuration.limits.max_header_bytes)
+        if not is_upstream_key(configuration, call.key):
             raise Failure(Code.UNAUTHORIZED, "The upstream's key is not known.")
-        body = await call.read_body(_MAX_ANNOUNCEMENT_BYTES)
+        body = await call.read_body(_MAX_ANNOUNCEMENT_BYTES, self._node.timers)
         announcement = parse_announcement(body)
         lease = self._node.registry.announce(
             announcement.to_upstream(), announcement.sequence
         )
-        urls = [host.caller_url for host in self._node.directory.entry_hosts()]
-        return json_reply({"lease_seconds": lease, "entry_hosts": urls})
+        urls = [host.caller_url for host in entry_hosts_near(self._node)]
+        return json_reply(AnnouncementAnswer(lease, urls))
 
     async def _answer_health(self, call: Call) -> Reply:
         return json_reply({"status": "ok"})
@@ -93,8 +130,7 @@
         return json_reply({"is_ready": not reasons, "reasons": reasons}, status)
 
     async def _answer_metrics(self, call: Call) -> Reply:
-        data = prometheus_client.generate_latest()
-        return Reply(200, data, prometheus_client.CONTENT_TYPE_LATEST)
+        return Reply(200, self._metrics.render(), self._metrics.content_type)
 
 
 async def _serve_lifespan(receive, send) -> None:
--- a/src/pepperstep/observability/views.py
+++ b/src/pepperstep/observability/views.py
@@ -105,6 +105,5 @@
     """A document of the configuration as it was accepted."""
 
     name: str
-    # Revision of its last change.
-    revision: int
+    # TOML.
     text: str
--- /dev/null
+++ b/tests/api/fake_node.py
@@ -0,0 +1,315 @@
+"""A host without its parts, and calls to its HTTP interface in this process."""
+
+import hashlib
+import json
+import random
+from collections.abc import AsyncGenerator
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any
+
+import trio
+
+from pepperstep.adapters.http_api import Api
+from pepperstep.configuration import (
+    BASE,
+    Change,
+    ChangeAnswer,
+    ChangeStatus,
+    Configuration,
+    Winner,
+    merge,
+    parse,
+)
+from pepperstep.entities import Host, Outcome, Request, RequestKind, ServiceAnswer
+from pepperstep.errors import Code, Failure
+from pepperstep.fakes import FakeTimers
+from pepperstep.observability import (
+    EventLog,
+    Explanations,
+    HostView,
+    Metrics,
+    StatusView,
+    UpstreamView,
+)
+from pepperstep.requests import Part
+
+CALLER_KEY = "caller-key"
+OPERATOR_KEY = "operator-key"
+UPSTREAM_KEY = "upstream-key"
+
+
+def key_hash(key: str) -> str:
+    """Return what documents keep of a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+BASE_TEXT = f"""
+upstream_keys = ["{key_hash(UPSTREAM_KEY)}"]
+[sites.kitahara]
+regions = ["dosanko"]
+[limits]
+max_body_bytes = 20000
+max_prompt_tokens = 1000
+max_answer_tokens = 400
+max_header_bytes = 4000
+[workspaces.planners]
+[workspaces.others]
+[callers.desk]
+workspace = "planners"
+key_sha256 = "{key_hash(CALLER_KEY)}"
+[operators.chief]
+key_sha256 = "{key_hash(OPERATOR_KEY)}"
+may_change_base = true
+[deployments.zaseki-model]
+site = "kitahara"
+model = "zaseki-7b"
+version = "1"
+workspaces = ["planners"]
+[deployments.other-model]
+model = "other-7b"
+workspaces = ["others"]
+[services.venue-desk]
+workspaces = ["planners"]
+"""
+OVERLAY_TEXT = """
+site = "kitahara"
+[deployments.zaseki-model]
+max_replicas = 8
+"""
+
+ANSWER = ["Seat ", "Aunt ", "Yuki ", '"here"\n']
+
+
+class FakeStore:
+    """Documents of the configuration, changed without a log."""
+
+    def __init__(self) -> None:
+        self.texts = {BASE: BASE_TEXT, "kitahara": OVERLAY_TEXT}
+        self.current = Configuration()
+        self.changes: list[Change] = []
+        self._refresh(1)
+
+    def _refresh(self, revision: int) -> None:
+        base = parse(self.texts[BASE], BASE)
+        overlays = [parse(t, n) for n, t in self.texts.items() if n != BASE]
+        self.current = merge(base, overlays, revision)
+
+    def text_of(self, document: str) -> str:
+        """Return a document's text."""
+        return self.texts.get(document, "")
+
+    async def apply_change(self, change: Change, timeout: float) -> ChangeAnswer:
+        """Accept a change from the current revision."""
+        self.changes.append(change)
+        revision = self.current.revision
+        if change.from_revision != revision:
+            winner = Winner(revision, "first", "chief")
+            return ChangeAnswer(ChangeStatus.CONFLICT, revision, winner)
+        self.texts[change.document] = change.text
+        self._refresh(revision + 1)
+        return ChangeAnswer(ChangeStatus.ACCEPTED, revision + 1)
+
+
+@dataclass
+class FakeRequests:
+    """Requests that all get the same answer, or the failure that a test set."""
+
+    timers: FakeTimers
+    outcome: Outcome = field(default_factory=lambda: Outcome(finish="stop"))
+    refusal: Failure | None = None
+    # Tokens after which the stream fails or waits for ever.
+    fails_after: int | None = None
+    hangs_after: int | None = None
+    submitted: list[Request] = field(default_factory=list)
+    reads_closed: int = 0
+
+    async def submit(self, request: Request) -> Any:
+        """Accept a request."""
+        if self.refusal is not None:
+            raise self.refusal
+        for earlier in self.submitted:
+            if earlier.idempotency_key and (
+                earlier.idempotency_key == request.idempotency_key
+            ):
+                if earlier.fingerprint != request.fingerprint:
+                    raise Failure(Code.IDEMPOTENCY_CONFLICT, "The key has another use.")
+                return SimpleNamespace(id=earlier.id)
+        self.submitted.append(request)
+        return SimpleNamespace(id=request.id)
+
+    async def read(
+        self, request_id: str, workspace: str, position: int = 0
+    ) -> AsyncGenerator[Part, None]:
+        """Yield the answer token by token."""
+        try:
+            found = [each for each in self.submitted if each.id == request_id]
+            if not found:
+                raise Failure(Code.UNKNOWN_REQUEST, "No host knows it.")
+            if found[0].kind is RequestKind.SERVICE:
+                answer = ServiceAnswer(201, "text/plain", found[0].body)
+                yield Part(0, [], Outcome(service=answer))
+                return
+            for index in range(position, len(ANSWER)):
+                await self.timers.sleep(0.1)
+                if self.hangs_after == index:
+                    await trio.sleep_forever()
+                if self.fails_after == index:
+                    raise Failure(Code.UPSTREAM_FAILED, "All is lost.")
+                yield Part(index, [ANSWER[index]], None)
+            yield Part(len(ANSWER), [], self.outcome)
+        finally:
+            self.reads_closed += 1
+
+
+class FakeNode:
+    """What the HTTP interface needs of a host, and what operators ask of it."""
+
+    def __init__(self) -> None:
+        self.timers = FakeTimers(random.Random(1))
+        self.host = _host("entry-0", "dosanko")
+        self.all_hosts = [self.host, _host("entry-1", "dosanko"), _host("far", "ncr")]
+        self.directory = SimpleNamespace(entry_hosts=lambda: self.all_hosts)
+        self.announced: list[tuple[Any, int]] = []
+        self.registry = SimpleNamespace(announce=self._announce)
+        self.requests = FakeRequests(self.timers)
+        self.store = FakeStore()
+        self.events = EventLog("entry-0", self.timers)
+        self.explanations = Explanations("entry-0", self.timers)
+        self.metrics = Metrics()
+        self.not_ready: list[str] = []
+        self.drained: list[str] = []
+        self.is_configured = True
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force."""
+        return self.store.current if self.is_configured else Configuration()
+
+    def api(self) -> Api:
+        """Return its HTTP interface."""
+        return Api(self, self.metrics, self)
+
+    def reasons_not_ready(self) -> list[str]:
+        """Return what the test set."""
+        return self.not_ready
+
+    def status(self) -> StatusView:
+        """Return some state."""
+        return StatusView("entry-0", "zone-a", "dosanko", "kitahara", 1)
+
+    def hosts(self) -> list[HostView]:
+        """Return two hosts."""
+        return [
+            HostView(name, "alive", "zone-a", "dosanko", "kitahara", f"{name}:7000")
+            for name in ("entry-0", "entry-1")
+        ]
+
+    def upstreams(self) -> list[UpstreamView]:
+        """Return one engine."""
+        return [UpstreamView("engine-0", "engine", "zone-a", "engine-0:9000", 7)]
+
+    async def drain(self, host: str) -> None:
+        """Note that a host is to leave."""
+        if host not in ("entry-0", "entry-1"):
+            raise Failure(Code.UNKNOWN_NAME, f"No host {host} is known.")
+        self.drained.append(host)
+
+    def _announce(self, upstream: Any, sequence: int) -> float:
+        self.announced.append((upstream, sequence))
+        return 3.0
+
+
+@dataclass
+class Answer:
+    """What a call got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    # Bodies of the events that had any.
+    events: list[bytes]
+
+    @property
+    def json(self) -> Any:
+        """The body as JSON."""
+        return json.loads(self.body)
+
+    @property
+    def code(self) -> str:
+        """The code of an error, "" for other answers."""
+        return self.json["error"]["code"] if self.status >= 400 else ""
+
+
+async def ask(
+    api: Api,
+    method: str,
+    path: str,
+    body: bytes | dict = b"",
+    *,
+    key: str = CALLER_KEY,
+    headers: dict[str, str] | list[tuple[bytes, bytes]] = (),
+    leaves_after: float | None = None,
+    body_pause: float = 0.0,
+) -> Answer:
+    """Make a call of a caller, who may leave after some seconds."""
+    data = json.dumps(body).encode() if isinstance(body, dict) else body
+    if isinstance(headers, dict):
+        headers = [(n.encode(), v.encode("latin-1")) for n, v in headers.items()]
+    target, _, query = path.partition("?")
+    scope = {
+        "type": "http",
+        "method": method,
+        "path": target,
+        "raw_path": target.encode(),
+        "query_string": query.encode(),
+        "headers": [(b"authorization", f"Bearer {key}".encode()), *headers],
+    }
+    return await _Exchange(data, leaves_after, body_pause).run(api, scope)
+
+
+class _Exchange:
+    """One call as a server of ASGI makes it."""
+
+    def __init__(self, body: bytes, leaves_after: float | None, body_pause: float):
+        half = len(body) // 2
+        self._parts = [body[:half], body[half:]]
+        self._leaves_after = leaves_after
+        self._body_pause = body_pause
+        self._sent: list[dict] = []
+        self._has_left = False
+
+    async def run(self, api: Api, scope: dict) -> Answer:
+        """Return the answer, after checks that it's well-formed."""
+        await api(scope, self._receive, self._send)
+        if self._has_left:
+            return Answer(0, {}, b"", [])
+        start, *bodies = self._sent
+        assert start["type"] == "http.response.start"
+        assert [event.get("more_body", False) for event in bodies][-1] is False
+        assert all(event.get("more_body") for event in bodies[:-1])
+        events = [event["body"] for event in bodies if event["body"]]
+        headers = {n.decode(): v.decode("latin-1") for n, v in start["headers"]}
+        body = b"".join(events)
+        if "content-length" in headers:
+            assert int(headers["content-length"]) == len(body)
+        return Answer(start["status"], headers, body, events)
+
+    async def _receive(self) -> dict:
+        if self._parts:
+            await trio.sleep(self._body_pause)
+            part = self._parts.pop(0)
+            more = bool(self._parts)
+            return {"type": "http.request", "body": part, "more_body": more}
+        if self._leaves_after is None:
+            await trio.sleep_forever()
+        await trio.sleep(self._leaves_after)
+        self._has_left = True
+        return {"type": "http.disconnect"}
+
+    async def _send(self, event: dict) -> None:
+        self._sent.append(event)
+
+
+def _host(name: str, region: str) -> Host:
+    return Host(name, f"{name}:7000", f"http://{name}", "zone-a", region, "kitahara")
--- /dev/null
+++ b/tests/api/test_server.py
@@ -0,0 +1,182 @@
+"""The HTTP interface over real connections: clients, limits and TLS."""
+
+import json
+import ssl
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from functools import partial
+
+import httpcore
+import openai
+import pytest
+import trio
+import trustme
+
+from pepperstep.adapters.http_api import serve_api
+from pepperstep.errors import Code, Failure
+from pepperstep.settings import HostSettings, Settings, TlsSettings
+from tests.api.fake_node import ANSWER, CALLER_KEY, FakeNode
+from tests.api.test_callers import MESSAGES, PROMPT
+
+TEXT = "".join(ANSWER)
+HEADERS = {"authorization": f"Bearer {CALLER_KEY}"}
+
+
+def settings_of(port: int, tls: TlsSettings | None = None) -> Settings:
+    """Return settings of a host on loopback."""
+    host = HostSettings(
+        name="entry-0",
+        zone="zone-a",
+        region="dosanko",
+        site="kitahara",
+        peer_address="127.0.0.1:1",
+        caller_address=f"127.0.0.1:{port}",
+    )
+    return Settings(host=host, tls=tls or TlsSettings())
+
+
+@asynccontextmanager
+async def serving(node: FakeNode, port: int, tls: TlsSettings | None = None, **limits):
+    """Serve a node until the block ends; yields what stops it gracefully."""
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        serve = partial(
+            serve_api,
+            node.api(),
+            settings_of(port, tls),
+            replace(node.configuration.limits, **limits),
+            stop.wait,
+        )
+        await nursery.start(lambda task_status: serve(task_status=task_status))
+        yield stop
+        stop.set()
+
+
+def ask_openai(port: int) -> tuple[str, str, list[str], str]:
+    """Make three calls by the client library."""
+    url = f"http://127.0.0.1:{port}/v1"
+    client = openai.OpenAI(base_url=url, api_key=CALLER_KEY)
+    whole = client.chat.completions.create(model="zaseki-model", messages=MESSAGES)
+    stream = client.chat.completions.create(
+        model="zaseki-model",
+        messages=MESSAGES,
+        stream=True,
+        stream_options={"include_usage": True},
+    )
+    chunks = list(stream)
+    text = "".join(c.choices[0].delta.content or "" for c in chunks if c.choices)
+    models = [model.id for model in client.models.list()]
+    plain = client.completions.create(model="zaseki-model", prompt="Seat 80 guests.")
+    assert chunks[-1].usage.completion_tokens == len(ANSWER)
+    return whole.choices[0].message.content, text, models, plain.choices[0].text
+
+
+def count_of_tries(port: int) -> str:
+    """Return the code of a refusal that the client library gives up on."""
+    url = f"http://127.0.0.1:{port}/v1"
+    client = openai.OpenAI(base_url=url, api_key=CALLER_KEY, max_retries=2)
+    with pytest.raises(openai.APIStatusError) as caught:
+        client.completions.create(model="zaseki-model", prompt="Seat 80 guests.")
+    return caught.value.code
+
+
+async def test_openai_client(unused_tcp_port):
+    async with serving(FakeNode(), unused_tcp_port):
+        answers = await trio.to_thread.run_sync(ask_openai, unused_tcp_port)
+    assert answers == (TEXT, TEXT, ["zaseki-model"], TEXT)
+
+
+@pytest.mark.parametrize(("retry_after", "tries"), [(None, 1), (0.001, 3)])
+async def test_openai_client_repeats_only_when_told(
+    unused_tcp_port, retry_after, tries
+):
+    node = FakeNode()
+    seen = []
+
+    async def submit(request):
+        seen.append(request)
+        raise Failure(Code.NO_UPSTREAM, "None.", retry_after=retry_after)
+
+    node.requests.submit = submit
+    async with serving(node, unused_tcp_port):
+        code = await trio.to_thread.run_sync(count_of_tries, unused_tcp_port)
+    assert (code, len(seen)) == (Code.NO_UPSTREAM, tries)
+
+
+async def test_refusal_of_a_large_body_arrives(unused_tcp_port):
+    url = f"http://127.0.0.1:{unused_tcp_port}/v1/completions"
+    async with serving(FakeNode(), unused_tcp_port):
+        async with httpcore.AsyncConnectionPool() as pool:
+            body = b"x" * 3_000_000
+            answer = await pool.request("POST", url, headers=HEADERS, content=body)
+    assert (answer.status, json.loads(answer.content)["error"]["code"]) == (
+        413,
+        Code.BODY_TOO_LARGE,
+    )
+
+
+async def test_connections_are_limited(unused_tcp_port):
+    url = f"http://127.0.0.1:{unused_tcp_port}/healthz"
+    node = FakeNode()
+    async with serving(node, unused_tcp_port, max_connections=2):
+        held = [await trio.open_tcp_stream("127.0.0.1", unused_tcp_port)]
+        held.append(await trio.open_tcp_stream("127.0.0.1", unused_tcp_port))
+        for stream in held:
+            await stream.send_all(b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n")
+            assert (await stream.receive_some(1000)).startswith(b"HTTP/1.1 200")
+        async with httpcore.AsyncConnectionPool() as pool:
+            answer = await pool.request("GET", url)
+        assert answer.status == 503
+        assert json.loads(answer.content)["error"]["code"] == Code.OVERLOADED
+        for stream in held:
+            await stream.aclose()
+
+
+async def test_graceful_stop_cuts_off_no_stream(unused_tcp_port):
+    url = f"http://127.0.0.1:{unused_tcp_port}/v1/completions"
+    node = FakeNode()
+    body = json.dumps(PROMPT | {"stream": True}).encode()
+    async with serving(node, unused_tcp_port) as stop:
+        async with httpcore.AsyncConnectionPool() as pool:
+            async with pool.stream(
+                "POST", url, headers=HEADERS, content=body
+            ) as response:
+                parts = []
+                async for part in response.aiter_stream():
+                    parts.append(part)
+                    stop.set()
+    assert b"[DONE]" in b"".join(parts)
+    with pytest.raises(OSError):
+        await trio.open_tcp_stream("127.0.0.1", unused_tcp_port)
+
+
+async def test_callers_listener_uses_tls(tmp_path, unused_tcp_port):
+    authority = trustme.CA()
+    certificate = authority.issue_cert("127.0.0.1")
+    chain, key = tmp_path / "chain.pem", tmp_path / "key.pem"
+    chain.write_bytes(b"".join(blob.bytes() for blob in certificate.cert_chain_pems))
+    certificate.private_key_pem.write_to_path(key)
+    tls = TlsSettings(caller_certificate=str(chain), caller_key=str(key))
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    url = f"https://127.0.0.1:{unused_tcp_port}/v1/models"
+    async with serving(FakeNode(), unused_tcp_port, tls):
+        async with httpcore.AsyncConnectionPool(ssl_context=context) as pool:
+            answer = await pool.request("GET", url, headers=HEADERS)
+        assert answer.status == 200
+        async with httpcore.AsyncConnectionPool() as pool:
+            with pytest.raises(httpcore.ConnectError):
+                await pool.request("GET", url, headers=HEADERS)
+            with pytest.raises(httpcore.RemoteProtocolError):
+                await pool.request("GET", url.replace("https", "http"))
+
+
+async def test_taken_address_is_an_error(unused_tcp_port):
+    async with serving(FakeNode(), unused_tcp_port):
+        with pytest.raises(OSError):
+            await serve_api(
+                FakeNode().api(),
+                settings_of(unused_tcp_port),
+                FakeNode().configuration.limits,
+                trio.sleep_forever,
+            )
