Test that a refused body's sender gets the refusal

Cause: the first form of this test passed without the mechanism (the client library reads on after a failed write).

--- a/tests/api/test_server.py
+++ b/tests/api/test_server.py
@@ -103,16 +103,18 @@
     assert (code, len(seen)) == (Code.NO_UPSTREAM, tries)
 
 
-async def test_refusal_of_a_large_body_arrives(unused_tcp_port):
-    url = f"http://127.0.0.1:{unused_tcp_port}/v1/completions"
+async def test_refusal_of_a_large_body_arrives_while_it_is_sent(unused_tcp_port):
+    head = f"authorization: Bearer {CALLER_KEY}\r\ncontent-length: 30000000"
     async with serving(FakeNode(), unused_tcp_port):
-        async with httpcore.AsyncConnectionPool() as pool:
-            body = b"x" * 3_000_000
-            answer = await pool.request("POST", url, headers=HEADERS, content=body)
-    assert (answer.status, json.loads(answer.content)["error"]["code"]) == (
-        413,
-        Code.BODY_TOO_LARGE,
-    )
+        stream = await trio.open_tcp_stream("127.0.0.1", unused_tcp_port)
+        start = f"POST /v1/completions HTTP/1.1\r\nhost: x\r\n{head}\r\n\r\n"
+        await stream.send_all(start.encode() + b"x" * 1_000_000)
+        answer = b""
+        while b"body_too_large" not in answer:
+            answer += await stream.receive_some(10_000)
+        assert answer.startswith(b"HTTP/1.1 413")
+        # A connection that was closed would break here.
+        await stream.send_all(b"x" * 29_000_000)
 
 
 async def test_connections_are_limited(unused_tcp_port):
