--- a/src/pepperstep/fakes/__init__.py
+++ b/src/pepperstep/fakes/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from pepperstep.fakes.agreement import FakeAgreement, FakeLog
+from pepperstep.fakes.cloud import FakeCloud, FakeWeightStore
 from pepperstep.fakes.directory import FakeDirectory
 from pepperstep.fakes.network import FakeNetwork, FakePeers
 from pepperstep.fakes.storage import FakeDisk
@@ -19,6 +20,7 @@
 
 __all__ = [
     "FakeAgreement",
+    "FakeCloud",
     "FakeDirectory",
     "FakeDisk",
     "FakeEngine",
@@ -28,6 +30,7 @@
     "FakeService",
     "FakeTimers",
     "FakeUpstreams",
+    "FakeWeightStore",
     "answer_of",
     "answer_token",
 ]
--- /dev/null
+++ b/src/pepperstep/fleet/events.py
@@ -0,0 +1,46 @@
+"""Events that explain what was decided, the newest of which are kept."""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+__all__ = ["Event", "EventLog"]
+
+_CAPACITY = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """What happened to `subject` at Unix time `time`, and why."""
+
+    time: float
+    kind: str
+    subject: str
+    text: str
+    reason: str = ""
+    # Grows by one with each event; 0 before it's in the log.
+    sequence: int = 0
+
+
+class EventLog:
+    """The last events in their order."""
+
+    def __init__(
+        self, events: Iterable[Event] = (), last: int = 0, capacity: int = _CAPACITY
+    ):
+        self._events: deque[Event] = deque(events, maxlen=capacity)
+        self._last = last
+
+    @property
+    def last(self) -> int:
+        """Sequence number of the newest event, 0 for none."""
+        return self._last
+
+    def add(self, event: Event) -> None:
+        """Append an event under the next sequence number."""
+        self._last += 1
+        self._events.append(replace(event, sequence=self._last))
+
+    def since(self, sequence: int = 0) -> list[Event]:
+        """Return the kept events with a higher sequence number."""
+        return [event for event in self._events if event.sequence > sequence]
