Replicated log under faults: schedules, repair and damaged files

Generated schedules of crashes, torn writes, lost disks, cuts, pauses, lost, doubled and late messages run whole hosts in virtual time; a checker compares logs, states, answers and leases.

Voters can be replaced by a host of another name. The table of answers holds several times as many as can wait: with fewer, a burst overtook itself.

--- a/src/pepperstep/consensus/leadership.py
+++ b/src/pepperstep/consensus/leadership.py
@@ -92,6 +92,9 @@
     @property
     def quorum_contact(self) -> float:
         """Time after which a quorum, this host included, has answered."""
+        if not self.is_active:
+            # The log may have another leader's membership already.
+            return _NEVER
         now = self._timers.now()
         return self._quorum_value(now, lambda progress: progress.contact)
 
@@ -116,6 +119,8 @@
         machines = self._replica.machines
         if not machines.has(proposal.name):
             return _refusal(Code.UNKNOWN_NAME, f"No machine {proposal.name}.")
+        if len(proposal.command) > self._tuning.command_bytes:
+            return _refusal(Code.BODY_TOO_LARGE, "The command is too long.")
         answer = machines.answer_to(proposal)
         if answer is not None and answer.result is None:
             return pb.LogProposeReply.Result(status=pb.LogProposeReply.STALE)
--- a/src/pepperstep/consensus/node.py
+++ b/src/pepperstep/consensus/node.py
@@ -153,6 +153,20 @@
             return index
         raise no_quorum(is_doubtful=False)
 
+    async def replace(self, old: str, new: str) -> None:
+        """Let the host `new` take the place of the voter `old`, which is gone.
+
+        The change is under way at return; `status` tells when it is done.
+        Raise `Failure` with `NOT_LEADER`, `NOT_READY` while another change is
+        under way, `UNKNOWN_NAME` or `PEER_UNREACHABLE`.
+        """
+        hello = pb.LogHello(group=self._group)
+        reply = await self._peers.call(new, hello, self._tuning.call_timeout)
+        if not self._has_lease:
+            raise Failure(Code.NOT_LEADER, "Only the leader replaces a voter.")
+        identity = Identity.from_message(reply.identity)
+        self._repair.replace(self._leadership, old, identity)
+
     def status(self) -> Status:
         """Return what this host knows of the log."""
         replica = self._replica
@@ -317,8 +331,6 @@
 ) -> pb.LogProposeReply.Result:
     if isinstance(item, pb.LogProposeReply.Result):
         return item
-    if item.answer is None:
+    if item.answer is None or item.answer.result is None:
         return pb.LogProposeReply.Result(status=pb.LogProposeReply.UNKNOWN)
-    if item.answer.result is None:
-        return pb.LogProposeReply.Result(status=pb.LogProposeReply.STALE)
     return pb.LogProposeReply.Result(data=item.answer.result)
--- a/src/pepperstep/consensus/repair.py
+++ b/src/pepperstep/consensus/repair.py
@@ -12,6 +12,7 @@
 from pepperstep.consensus.members import Identity, Membership
 from pepperstep.consensus.replica import Replica
 from pepperstep.consensus.tuning import Tuning
+from pepperstep.errors import Code, Failure
 from pepperstep.ports import Timers
 
 __all__ = ["Repair"]
@@ -54,6 +55,20 @@
         needed = max(last_change, leadership.first_index)
         return leadership.has_lease and self._replica.commit_index >= needed
 
+    def replace(self, leadership: Leadership, old: str, new: Identity) -> None:
+        """Remove the voter of the name `old` and take in `new` as a learner."""
+        membership = self._replica.membership
+        if not self.is_settled(leadership):
+            raise Failure(Code.NOT_READY, "Another change of the members is under way.")
+        voters = {voter.name: voter for voter in membership.voters}
+        if old not in voters or new.name in voters:
+            raise Failure(Code.UNKNOWN_NAME, f"Can't replace {old} by {new.name}.")
+        is_small = len(voters) <= self._min_voters
+        if is_small or voters[old] == self._replica.identity:
+            raise Failure(Code.NOT_READY, f"{old} can't leave now.")
+        wanted = membership.without(voters[old]).with_learner(new)
+        leadership.propose_membership(wanted)
+
     def is_redundant(self, leadership: Leadership) -> bool:
         """Whether as many voters as at first answer and have all commits."""
         membership = self._replica.membership
--- a/src/pepperstep/consensus/replica.py
+++ b/src/pepperstep/consensus/replica.py
@@ -220,6 +220,7 @@
             await self._store.save_snapshot(snapshot)
             self._snapshot_due = trio.Event()
             self._compact(snapshot.index)
+            self._check_snapshot()
 
     def _snapshot(self) -> pb.LogSnapshot:
         index = self.applied_index
--- a/src/pepperstep/consensus/tuning.py
+++ b/src/pepperstep/consensus/tuning.py
@@ -32,11 +32,13 @@
     snapshot_bytes: int = 16 * _MEGABYTE
     # Entries kept behind a snapshot for followers that are a little late.
     trailing_entries: int = 2_000
+    command_bytes: int = 8 * _MEGABYTE
     # Proposals that wait for their commit at the leader.
-    pending_proposals: int = 16_384
-    # Answers kept for repeated proposals.
-    session_count: int = 16_384
-    session_bytes: int = 8 * _MEGABYTE
+    pending_proposals: int = 8_192
+    # Answers kept for repeated proposals: several times as many as can wait,
+    # since a proposal that is overtaken by so many is given up.
+    session_count: int = 32_768
+    session_bytes: int = 16 * _MEGABYTE
 
     @property
     def lease(self) -> float:
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -1,6 +1,7 @@
 """Control hosts in one process, and a checker of what must always hold."""
 
 import random
+from collections import deque
 from collections.abc import Callable
 from contextlib import asynccontextmanager
 
@@ -62,6 +63,21 @@
     delay = 0.001
 
 
+class LatePeers(FakePeers):
+    """Peers that keep arrived messages, so that they may come once more."""
+
+    def __init__(self, past: deque[tuple[str, bytes]], *arguments):
+        super().__init__(*arguments)
+        self._past = past
+
+    def start_handling(self, data: bytes, answers: trio.MemorySendChannel) -> None:
+        self._past.append((self.name, data))
+        super().start_handling(data, answers)
+
+    def repeat(self, data: bytes) -> None:
+        super().start_handling(data, trio.open_memory_channel(1)[0])
+
+
 class Host:
     """A control host: its disk outlives it."""
 
@@ -71,6 +87,8 @@
         self.rng = random.Random(f"{seed} {name}")
         self.timers = FakeTimers()
         self.is_up = False
+        self.is_lost = False
+        self.life: LifeDisk | None = None
         self.failure: BaseException | None = None
         self.checked = 0
 
@@ -89,6 +107,7 @@
         self.leaders: dict[int, str] = {}
         self.acknowledged: dict[bytes, bytes] = {}
         self.proposed = 0
+        self.past: deque[tuple[str, bytes]] = deque(maxlen=100)
 
     async def start(self, *names: str) -> None:
         for name in names or self.names:
@@ -112,6 +131,28 @@
         self.crash(name, **crash)
         await self.start(name)
 
+    def crash_at(self, name: str, count: int, torn_bytes: int = 0) -> None:
+        """Crash a host right before the write that comes after `count` others."""
+        host = self.hosts[name]
+        life = host.life
+
+        def before(operation: str, file: str) -> None:
+            nonlocal count
+            count -= 1
+            if count < 0 and host.life is life and host.is_up:
+                host.disk.before = lambda operation, file: None
+                self.crash(name, torn_bytes)
+                raise Crashed
+
+        host.disk.before = before
+
+    def repeat_late(self, place: int) -> None:
+        """Let a message of the past come once more."""
+        if self.past:
+            name, data = self.past[place % len(self.past)]
+            if self.hosts[name].is_up:
+                self.hosts[name].peers.repeat(data)
+
     def consensus(self, name: str) -> Consensus:
         return self.hosts[name].consensus
 
@@ -132,7 +173,8 @@
                 if result:
                     return result
                 await trio.sleep(0.05)
-        raise AssertionError(f"Not within {seconds} s.")
+        states = [host.consensus.status() for host in self.up]
+        raise AssertionError(f"Not within {seconds} s: {states}")
 
     async def wait_leader(self, seconds: float = 60) -> str:
         return await self.wait_until(lambda: self.leader, seconds)
@@ -179,19 +221,27 @@
         """Heal all, wait for full redundancy, and compare all hosts."""
         self.network.heal()
         self.network.loss = self.network.duplication = 0.0
+        self.network.max_delay = self.network.min_delay
         for host in self.hosts.values():
+            host.disk.before = lambda operation, file: None
             host.timers.resume()
             if not host.is_up:
                 await self.start(host.name)
-        await self.wait_until(self._is_redundant, seconds)
+        await self.wait_until(self.is_redundant, seconds)
         await self.propose(self.leader)
         for host in self.up:
             await host.consensus.barrier(10)
         self.check()
         self._compare()
 
-    def _is_redundant(self) -> bool:
-        return bool(self.leader) and self.consensus(self.leader).status().is_redundant
+    def is_redundant(self) -> bool:
+        """Whether the leader says so, of the disks that the hosts have now."""
+        if not self.leader:
+            return False
+        status = self.consensus(self.leader).status()
+        disks = {host.name: host.consensus.status().disk_id for host in self.up}
+        is_known = all(disks.get(v.name) == v.disk_id for v in status.voters)
+        return bool(status.is_redundant) and is_known
 
     def _compare(self) -> None:
         ledgers = [host.ledger.commands for host in self.up]
@@ -219,19 +269,19 @@
                     await host.consensus.run()
             except* (Crashed, OSError, Failure) as group:
                 host.failure = group
-                if host.life is life:
+                if host.life is life and not life.is_dead:
                     logging.error("Host %s ended: %r", host.name, group.exceptions)
                     host.is_up = False
                     self.network.detach(host.name)
 
     def _build(self, host: Host, life: LifeDisk, nursery: trio.Nursery) -> None:
-        peers = FakePeers(host.name, self.network, host.timers, nursery)
+        host.peers = LatePeers(self.past, host.name, self.network, host.timers, nursery)
         host.ledger = Ledger(self.seen)
         host.consensus = Consensus.from_config(
             name=host.name,
             voters=self.names,
             storage=life,
-            peers=peers,
+            peers=host.peers,
             timers=host.timers,
             rng=host.rng,
             tuning=self._tuning,
