Distribution of the configuration to all hosts

Cause: an accepted change must be in force everywhere within seconds and never be followed by an older one. Ruled out: polls alone (about ten rounds at 1,100 hosts), pushes to random hosts (three or more messages a host), whole documents for each change.

--- a/src/pepperstep/configuration/__init__.py
+++ b/src/pepperstep/configuration/__init__.py
@@ -6,6 +6,8 @@
     ChangeStatus,
     Winner,
 )
+from pepperstep.configuration.choice import StoreSettings
+from pepperstep.configuration.distribution import ConfigurationStore
 from pepperstep.configuration.documents import Document, merge, parse
 from pepperstep.configuration.keys import (
     find_caller,
@@ -39,6 +41,7 @@
     "ChangeStatus",
     "Configuration",
     "ConfigurationMachine",
+    "ConfigurationStore",
     "Deployment",
     "Document",
     "Limits",
@@ -47,6 +50,7 @@
     "OverlayDocument",
     "Service",
     "SiteSettings",
+    "StoreSettings",
     "Winner",
     "Workspace",
     "find_caller",
--- a/src/pepperstep/configuration/versions.py
+++ b/src/pepperstep/configuration/versions.py
@@ -83,7 +83,7 @@
         if update.since > self._revision:
             return False
         if update.steps:
-            return self._take_steps(update.steps)
+            return self._take_steps(update.steps) and self._revision >= update.revision
         self._take_texts(update.revision, update.texts)
         return True
 
