Command-line tool for operators

check, apply, show, status, hosts, upstreams, drain, events and explain; text or JSON, help with examples, an exit code for each class of error, and one line for each error. Tested: tests/cli against the HTTP interface with a fake host in a thread, and without a server.

--- a/src/pepperstep/adapters/http_api/app.py
+++ b/src/pepperstep/adapters/http_api/app.py
@@ -9,7 +9,7 @@
     parse_announcement,
 )
 from pepperstep.adapters.http_api.calls import CallerRoutes, entry_hosts_near
-from pepperstep.adapters.http_api.operators import PREFIX, OperatorRoutes
+from pepperstep.adapters.http_api.operators import OperatorRoutes
 from pepperstep.adapters.http_api.ports import EntryNode, Operators
 from pepperstep.adapters.http_api.web import (
     Call,
@@ -18,6 +18,7 @@
     send_failure,
     send_reply,
 )
+from pepperstep.adapters.operator_messages import OPERATOR_PREFIX
 from pepperstep.configuration import is_upstream_key
 from pepperstep.errors import Code, Execution, Failure
 from pepperstep.observability import Metrics
@@ -61,7 +62,8 @@
             ("/services/", callers.call_service),
         ]
         if operators is not None:
-            self._prefixes.append((PREFIX, OperatorRoutes(node, operators).answer))
+            routes = OperatorRoutes(node, operators)
+            self._prefixes.append((OPERATOR_PREFIX, routes.answer))
 
     async def __call__(self, scope: dict, receive, send) -> None:
         if scope["type"] == "lifespan":
--- a/src/pepperstep/adapters/http_api/operators.py
+++ b/src/pepperstep/adapters/http_api/operators.py
@@ -1,11 +1,20 @@
 """What operators ask of a host, under `/operator/v1/`."""
 
-from typing import Annotated, Protocol
+from typing import Protocol
 
 import msgspec
 
 from pepperstep.adapters.http_api.ports import ConfigurationSource, EntryNode, Operators
 from pepperstep.adapters.http_api.web import Call, Reply, decode_body, json_reply
+from pepperstep.adapters.operator_messages import (
+    OPERATOR_PREFIX,
+    ChangeBody,
+    ConfigurationView,
+    DrainBody,
+    EventsView,
+    HostsView,
+    UpstreamsView,
+)
 from pepperstep.configuration import (
     BASE,
     Change,
@@ -16,25 +25,9 @@
     parse,
 )
 from pepperstep.errors import Code, Failure
-from pepperstep.observability import (
-    DocumentView,
-    Event,
-    HostView,
-    UpstreamView,
-    ValueView,
-)
-
-__all__ = [
-    "ChangeBody",
-    "ConfigurationView",
-    "DrainBody",
-    "EventsView",
-    "HostsView",
-    "OperatorRoutes",
-    "UpstreamsView",
-]
+from pepperstep.observability import DocumentView, ValueView
 
-PREFIX = "/operator/v1/"
+__all__ = ["OperatorRoutes"]
 
 _CHANGE_SECONDS = 10.0
 _MAX_BODY_BYTES = 1024 * 1024
@@ -48,53 +41,6 @@
     ChangeStatus.FORBIDDEN: 403,
 }
 
-_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
-_Revision = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-
-
-class ChangeBody(msgspec.Struct):
-    """A document's new text."""
-
-    # "base", or a site for its overlay.
-    document: _Name
-    text: str
-    # Revision at which the document was read.
-    from_revision: _Revision
-    # A resend carries the same one.
-    change_id: _Name
-
-
-class ConfigurationView(msgspec.Struct):
-    """The configuration in force, each value with its origin."""
-
-    revision: int
-    values: list[ValueView]
-    documents: list[DocumentView]
-
-
-class HostsView(msgspec.Struct):
-    """The hosts that the answering one knows."""
-
-    hosts: list[HostView]
-
-
-class UpstreamsView(msgspec.Struct):
-    """The upstreams that the answering host knows."""
-
-    upstreams: list[UpstreamView]
-
-
-class EventsView(msgspec.Struct):
-    """Events of the answering host, oldest first."""
-
-    events: list[Event]
-
-
-class DrainBody(msgspec.Struct):
-    """The host that is to leave."""
-
-    host: _Name
-
 
 class _Route(Protocol):
     async def __call__(self, call: Call, operator: str) -> Reply: ...
@@ -123,7 +69,7 @@
     async def answer(self, call: Call) -> Reply:
         """Answer one call."""
         operator = self._operator_of(call)
-        name = call.path.removeprefix(PREFIX)
+        name = call.path.removeprefix(OPERATOR_PREFIX)
         if call.method == "GET" and name.startswith("explain/"):
             return self._explain(name.removeprefix("explain/"))
         route = self._routes.get((call.method, name))
--- /dev/null
+++ b/src/pepperstep/cli/main.py
@@ -0,0 +1,72 @@
+"""Entry point of `pepperstep`: finds the command and turns errors to exits."""
+
+import sys
+from collections.abc import Callable, Sequence
+
+from pepperstep.cli import documents, hosts, requests
+from pepperstep.cli.exits import Exit, Stop, exit_of
+from pepperstep.cli.help import command_help, tool_help
+from pepperstep.cli.options import Options, parse_options
+from pepperstep.cli.printing import Output
+from pepperstep.errors import Failure, InvalidDocument
+
+__all__ = ["main"]
+
+_Command = Callable[[Options, Output], Exit]
+
+_COMMANDS: dict[str, _Command] = {
+    "check": documents.check,
+    "apply": documents.apply,
+    "show": documents.show,
+    "status": hosts.status,
+    "hosts": hosts.hosts,
+    "upstreams": hosts.upstreams,
+    "drain": hosts.drain,
+    "events": hosts.events,
+    "explain": requests.explain,
+}
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the tool and return its exit code; see `Exit`."""
+    given = sys.argv[1:] if arguments is None else arguments
+    try:
+        return _run(parse_options(given))
+    except Stop as stop:
+        return _stop(stop.code, stop.text)
+    except InvalidDocument as error:
+        return _stop(Exit.INVALID, error.text)
+    except Failure as failure:
+        return _stop(exit_of(failure), f"{failure.text} ({failure.code})")
+    except BrokenPipeError:
+        # The reader of the output, such as `head`, has enough.
+        sys.stderr.close()
+        return Exit.OK
+    except KeyboardInterrupt:
+        return _stop(Exit.INTERNAL, "Interrupted.")
+    except Exception as error:
+        text = f"Internal error: {type(error).__name__}: {error}. Please report it."
+        return _stop(Exit.INTERNAL, text)
+
+
+def _run(options: Options) -> int:
+    name = options.command
+    if name in ("", "help"):
+        name = options.arguments[0] if options.arguments else ""
+        options_help = command_help(name) if name in _COMMANDS else tool_help()
+        sys.stdout.write(options_help)
+        return Exit.OK if options.wants_help or options.command else Exit.USAGE
+    command = _COMMANDS.get(name)
+    if command is None:
+        text = f"No command {name}; there are: {', '.join(_COMMANDS)}."
+        raise Stop(Exit.USAGE, f"{text} See `pepperstep --help`.")
+    if options.wants_help:
+        sys.stdout.write(command_help(name))
+        return Exit.OK
+    return command(options, Output(options.is_json))
+
+
+def _stop(code: Exit, text: str) -> int:
+    lines = text.splitlines() or [""]
+    sys.stderr.write("".join(f"pepperstep: {line}\n" for line in lines))
+    return code
--- a/tests/api/fake_node.py
+++ b/tests/api/fake_node.py
@@ -165,17 +165,17 @@
 class FakeNode:
     """What the HTTP interface needs of a host, and what operators ask of it."""
 
-    def __init__(self) -> None:
+    def __init__(self, name: str = "entry-0") -> None:
         self.timers = FakeTimers(random.Random(1))
-        self.host = _host("entry-0", "dosanko")
+        self.host = _host(name, "dosanko")
         self.all_hosts = [self.host, _host("entry-1", "dosanko"), _host("far", "ncr")]
         self.directory = SimpleNamespace(entry_hosts=lambda: self.all_hosts)
         self.announced: list[tuple[Any, int]] = []
         self.registry = SimpleNamespace(announce=self._announce)
         self.requests = FakeRequests(self.timers)
         self.store = FakeStore()
-        self.events = EventLog("entry-0", self.timers)
-        self.explanations = Explanations("entry-0", self.timers)
+        self.events = EventLog(name, self.timers)
+        self.explanations = Explanations(name, self.timers)
         self.metrics = Metrics()
         self.not_ready: list[str] = []
         self.drained: list[str] = []
