--- a/src/pepperstep/fleet/observer.py
+++ b/src/pepperstep/fleet/observer.py
@@ -207,7 +207,9 @@
         self._unready_since = {
             act.host_id: self._unready_since.get(act.host_id, now)
             for act in self._machine.hosts()
-            if act.state is ActState.DONE and not _is_ready(scene, act.host_id)
+            if act.state is ActState.DONE
+            and not _is_ready(scene, act.host_id)
+            and not _waits_for_load(scene, act.host_id)
         }
 
     def _need(
@@ -339,6 +341,16 @@
     return any(engine.models and not engine.is_leaving for engine in engines)
 
 
+def _waits_for_load(scene: _Scene, host_id: str) -> bool:
+    """Whether a host's engines are there and no load was tried on any."""
+    engines = scene.engines.get(host_id, [])
+    return bool(engines) and not any(
+        act.kind is ActKind.LOAD and not act.is_open
+        for engine in engines
+        for act in scene.orders_of(engine)
+    )
+
+
 def _busy(scene: _Scene, host_id: str) -> int:
     engines = scene.engines.get(host_id, []) if host_id else []
     return sum(engine.load.running + engine.load.waiting for engine in engines)
