Read only the parts of a document that changed

Ruled out: a thread (the interpreter's lock, and no virtual time); parsed entries in the updates (every host would trust another's parser). Conclusion: parts are cut at header lines, and what can't be cut is read whole.

--- a/src/pepperstep/configuration/documents.py
+++ b/src/pepperstep/configuration/documents.py
@@ -6,7 +6,6 @@
 
 import functools
 import re
-import tomllib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any, TypeVar
@@ -21,6 +20,7 @@
     Configuration,
     OverlayDocument,
 )
+from pepperstep.configuration.toml_parts import load_toml
 from pepperstep.errors import Finding, InvalidDocument
 
 __all__ = ["MAX_DOCUMENT_BYTES", "Document", "merge", "parse"]
@@ -110,7 +110,7 @@
 
 @functools.lru_cache(maxsize=_CACHED_DOCUMENTS)
 def _load(text: str) -> Mapping[str, Any]:
-    return tomllib.loads(text)
+    return load_toml(text)
 
 
 def _syntax_finding(error: ValueError, file: str) -> Finding:
