Requests: plan of moves off leaving upstreams, and the parts around it

A reclaim notice covers all requests on its upstreams at once, so one plan decides on them: finish, export the KV cache, or move and compute again, with a typed reason. Exports share an upstream's bandwidth and go by recomputation saved a byte; targets are spread by room, zones without a notice first. Greedy exports can pick worse targets than the baseline does; then the plan is the baseline's.

Also the messages and parts that carry it out: notices and verdicts told to all entry hosts, probes, and the guard against crashing requests.

--- a/src/pepperstep/adapters/http_upstreams.py
+++ b/src/pepperstep/adapters/http_upstreams.py
@@ -9,7 +9,9 @@
 
 import httpcore
 import msgspec
+import trio
 
+from pepperstep.adapters.paced_network import PacedBackend
 from pepperstep.entities import ModelKey, Request, Role, ServiceAnswer, Upstream
 from pepperstep.ports import (
     CacheExport,
@@ -29,6 +31,7 @@
 _SILENCE_SECONDS = 15.0
 _CONTROL_SECONDS = 5.0
 _MAX_CONNECTIONS = 1000
+_IDLE_SECONDS = 30.0
 _MAX_EVENT_BYTES = 1024 * 1024
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
 _EVENT_END = b"\n\n"
@@ -82,6 +85,7 @@
     def __init__(self, key: str, ssl_context=None):
         self._headers = [(b"authorization", b"Bearer " + key.encode())]
         self._ssl_context = ssl_context
+        self._backend = PacedBackend()
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     @asynccontextmanager
@@ -94,7 +98,11 @@
         async with _mapped_errors(), self._pool(upstream).stream(**request) as response:
             if response.status != 200:
                 raise await _error_of(response)
-            yield _read_events(response)
+            silence = trio.move_on_after(_SILENCE_SECONDS)
+            with silence:
+                yield _read_events(response, silence)
+            if silence.cancelled_caught:
+                raise UpstreamLost("The stream was silent for too long.")
 
     async def cancel(self, upstream: Upstream, attempt_id: str) -> bool:
         """Return whether the upstream confirmed that the attempt has ended."""
@@ -175,7 +183,8 @@
             pool = httpcore.AsyncConnectionPool(
                 ssl_context=self._ssl_context,
                 max_connections=_MAX_CONNECTIONS,
-                keepalive_expiry=30.0,
+                keepalive_expiry=_IDLE_SECONDS,
+                network_backend=self._backend,
             )
             self._pools[upstream.address] = pool
         return pool
@@ -234,15 +243,20 @@
     body = await _read_whole(response)
     text = f"Status {response.status}: {body[:200].decode(errors='replace')}"
     if response.status in _REFUSALS:
-        return UpstreamRefused(text, _seconds(_header(response, b"retry-after")))
-    return UpstreamLost(text)
+        retry_after = _seconds(_header(response, b"retry-after"))
+        error = UpstreamRefused(text, retry_after)
+    else:
+        error = UpstreamLost(text)
+    error.has_answered = True
+    return error
 
 
 async def _read_events(
-    response: httpcore.Response,
+    response: httpcore.Response, silence: trio.CancelScope
 ) -> AsyncIterator[TokenChunk | EndMark]:
     rest = b""
     async for data in response.aiter_stream():
+        silence.deadline = trio.current_time() + _SILENCE_SECONDS
         parts = (rest + data).split(_EVENT_END)
         rest = parts.pop()
         if len(rest) > _MAX_EVENT_BYTES:
--- a/src/pepperstep/ports/upstreams.py
+++ b/src/pepperstep/ports/upstreams.py
@@ -24,7 +24,12 @@
 
 
 class UpstreamFault(Exception):
-    """An upstream did not do its work; see the subclasses."""
+    """An upstream did not do its work; see the subclasses.
+
+    `has_answered` tells that it answered, and so lives.
+    """
+
+    has_answered = False
 
 
 class UpstreamRefused(UpstreamFault):
--- /dev/null
+++ b/src/pepperstep/requests/moves.py
@@ -0,0 +1,323 @@
+"""Decides how each request leaves an upstream that will be taken back.
+
+The policies are plain functions on data classes, so that they can be compared
+and explained: `plan_moves` and its two baselines.
+"""
+
+import enum
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+
+from pepperstep.entities import ModelKey, Priority
+
+__all__ = [
+    "POLICIES",
+    "Leaver",
+    "Move",
+    "MoveKind",
+    "MoveReason",
+    "MoveTarget",
+    "MovingRequest",
+    "Policy",
+    "plan_always_finish",
+    "plan_always_recompute",
+    "plan_moves",
+]
+
+# Longest pause in an answer while its KV cache is sent, unless computing it
+# again takes still longer.
+_MAX_STALL_SECONDS = {
+    Priority.INTERACTIVE: 2.0,
+    Priority.STANDARD: 10.0,
+    Priority.BATCH: 60.0,
+}
+
+
+class MoveKind(enum.StrEnum):
+    """What becomes of a request on a leaving upstream."""
+
+    FINISH = "finish"
+    EXPORT = "export"
+    RECOMPUTE = "recompute"
+
+
+class MoveReason(enum.StrEnum):
+    """Why it was decided so."""
+
+    ENDS_IN_TIME = "ends_in_time"
+    CACHE_ARRIVES_IN_TIME = "cache_arrives_in_time"
+    NO_TIME_FOR_EXPORT = "no_time_for_export"
+    EXPORT_STALLS_TOO_LONG = "export_stalls_too_long"
+    NOTHING_TO_EXPORT = "nothing_to_export"
+    NOT_MOVABLE = "not_movable"
+    NO_TARGET = "no_target"
+    FIXED_POLICY = "fixed_policy"
+
+
+@dataclass(frozen=True, slots=True)
+class Leaver:
+    """An upstream that ends in `seconds`."""
+
+    name: str
+    zone: str
+    seconds: float
+    # What this host may use of its export bandwidth.
+    bytes_per_second: float
+    bytes_per_token: float
+
+
+@dataclass(frozen=True, slots=True)
+class MoveTarget:
+    """An upstream that stays."""
+
+    name: str
+    zone: str
+    models: frozenset[ModelKey]
+    # Requests that it can take in now.
+    room: int
+
+
+@dataclass(frozen=True, slots=True)
+class MovingRequest:
+    """A request on a leaving upstream."""
+
+    id: str
+    upstream: str
+    model_key: ModelKey
+    priority: Priority
+    # Tokens of prompt and answer in its KV cache, and those still to come.
+    tokens: int
+    remaining: int
+    decode_seconds: float
+    prefill_seconds: float
+    # False for calls that run as a whole.
+    is_movable: bool = True
+    # Tokens in the prefix cache of each target, as far as known.
+    cached_at: Mapping[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """Decision on one request."""
+
+    request_id: str
+    upstream: str
+    kind: MoveKind
+    reason: MoveReason
+    # Upstream that it goes on at, "" to stay.
+    target: str = ""
+    # Tokens that will be computed again, as predicted.
+    recomputed: int = 0
+    # Seconds from now at which an export starts and has arrived.
+    starts_at: float = 0.0
+    arrives_at: float = 0.0
+
+
+Policy = Callable[
+    [Sequence[Leaver], Sequence[MovingRequest], Sequence[MoveTarget]], list[Move]
+]
+
+
+def plan_moves(
+    leavers: Sequence[Leaver],
+    requests: Sequence[MovingRequest],
+    targets: Sequence[MoveTarget],
+) -> list[Move]:
+    """Return one decision for each request, for all leavers together.
+
+    What ends in time stays. Of the rest, KV caches are exported in the order
+    of the recomputation that they save a byte, as long as they arrive in time;
+    what remains moves at once and is computed again. Where moving all at once
+    is predicted to compute less again, that is the plan.
+    """
+    plans = (
+        _plan_by_cost(leavers, requests, targets),
+        plan_always_recompute(leavers, requests, targets),
+    )
+    return min(plans, key=lambda plan: sum(move.recomputed for move in plan))
+
+
+def plan_always_recompute(
+    leavers: Sequence[Leaver],
+    requests: Sequence[MovingRequest],
+    targets: Sequence[MoveTarget],
+) -> list[Move]:
+    """Move every request at once and compute it again (baseline)."""
+    room = _Room(leavers, targets)
+    moves = []
+    for request in requests:
+        target = room.take(request) if request.is_movable else None
+        if target is None:
+            moves.append(_fixed(request, MoveKind.FINISH, request.tokens))
+            continue
+        recomputed = _recomputed_at(request, target)
+        move = _fixed(request, MoveKind.RECOMPUTE, recomputed)
+        moves.append(replace(move, target=target.name))
+    return moves
+
+
+def plan_always_finish(
+    leavers: Sequence[Leaver],
+    requests: Sequence[MovingRequest],
+    targets: Sequence[MoveTarget],
+) -> list[Move]:
+    """Let every request run until its upstream ends (baseline)."""
+    seconds = {leaver.name: leaver.seconds for leaver in leavers}
+    return [
+        _fixed(request, MoveKind.FINISH, _lost_at_end(request, seconds))
+        for request in requests
+    ]
+
+
+POLICIES: dict[str, Policy] = {
+    "planned": plan_moves,
+    "always_recompute": plan_always_recompute,
+    "always_finish": plan_always_finish,
+}
+
+
+def _plan_by_cost(
+    leavers: Sequence[Leaver],
+    requests: Sequence[MovingRequest],
+    targets: Sequence[MoveTarget],
+) -> list[Move]:
+    by_name = {leaver.name: leaver for leaver in leavers}
+    room = _Room(leavers, targets)
+    # Seconds for which each leaver's export is busy.
+    busy = dict.fromkeys(by_name, 0.0)
+    moves = []
+    for request in sorted(requests, key=_export_order):
+        leaver = by_name[request.upstream]
+        move = _stay(request, leaver) or _place(request, leaver, room, busy)
+        if move.kind is MoveKind.EXPORT:
+            busy[leaver.name] = move.arrives_at
+        moves.append(move)
+    return moves
+
+
+class _Room:
+    """Room of the targets, less what earlier decisions take of it."""
+
+    def __init__(self, leavers: Sequence[Leaver], targets: Sequence[MoveTarget]):
+        leaving = {leaver.name for leaver in leavers}
+        self._zones = {leaver.zone for leaver in leavers}
+        self._targets = [target for target in targets if target.name not in leaving]
+        self._room = {target.name: target.room for target in self._targets}
+
+    def find(self, request: MovingRequest) -> MoveTarget | None:
+        """Return the best target, None if none has the request's model.
+
+        Reclaims come by zone, so a zone without one goes first where it has
+        room; then the target with the most room, which spreads the requests.
+        """
+        usable = [t for t in self._targets if request.model_key in t.models]
+        return max(usable, key=self._fitness, default=None)
+
+    def take(self, request: MovingRequest) -> MoveTarget | None:
+        """Find a target and use one place of it."""
+        target = self.find(request)
+        if target is not None:
+            self._room[target.name] -= 1
+        return target
+
+    def _fitness(self, target: MoveTarget) -> tuple[bool, bool, int, str]:
+        room = self._room[target.name]
+        is_calm = target.zone not in self._zones
+        return (room > 0, is_calm, room, target.name)
+
+
+def _export_order(request: MovingRequest) -> tuple[float, int, str]:
+    """Order by tokens saved a byte, then the largest, then by id."""
+    cached = max(request.cached_at.values(), default=0)
+    saved_share = 1 - min(cached, request.tokens) / max(1, request.tokens)
+    return (-saved_share, -request.tokens, request.id)
+
+
+def _stay(request: MovingRequest, leaver: Leaver) -> Move | None:
+    if not request.is_movable:
+        reason = MoveReason.NOT_MOVABLE
+    elif request.remaining * request.decode_seconds <= leaver.seconds:
+        reason = MoveReason.ENDS_IN_TIME
+    else:
+        return None
+    return Move(request.id, request.upstream, MoveKind.FINISH, reason)
+
+
+def _place(
+    request: MovingRequest, leaver: Leaver, room: _Room, busy: Mapping[str, float]
+) -> Move:
+    target = room.take(request)
+    if target is None:
+        return Move(
+            request.id,
+            request.upstream,
+            MoveKind.FINISH,
+            MoveReason.NO_TARGET,
+            recomputed=request.tokens,
+        )
+    starts_at = busy[leaver.name]
+    # It goes on here until its turn comes, and its cache grows meanwhile.
+    tokens = request.tokens + int(starts_at / max(request.decode_seconds, 1e-9))
+    seconds = tokens * leaver.bytes_per_token / max(leaver.bytes_per_second, 1e-9)
+    recomputed = _recomputed_at(request, target)
+    reason = _export_reason(request, leaver, starts_at + seconds, seconds, recomputed)
+    if reason is not MoveReason.CACHE_ARRIVES_IN_TIME:
+        return Move(
+            request.id,
+            request.upstream,
+            MoveKind.RECOMPUTE,
+            reason,
+            target.name,
+            recomputed,
+        )
+    return Move(
+        request.id,
+        request.upstream,
+        MoveKind.EXPORT,
+        reason,
+        target.name,
+        0,
+        starts_at,
+        starts_at + seconds,
+    )
+
+
+def _export_reason(
+    request: MovingRequest,
+    leaver: Leaver,
+    arrives_at: float,
+    stall_seconds: float,
+    recomputed: int,
+) -> MoveReason:
+    """Return whether an export pays, and if not why."""
+    if recomputed <= 0:
+        return MoveReason.NOTHING_TO_EXPORT
+    if arrives_at > leaver.seconds:
+        return MoveReason.NO_TIME_FOR_EXPORT
+    recompute_seconds = recomputed * request.prefill_seconds
+    longest = max(_MAX_STALL_SECONDS[request.priority], recompute_seconds)
+    if stall_seconds > longest:
+        return MoveReason.EXPORT_STALLS_TOO_LONG
+    return MoveReason.CACHE_ARRIVES_IN_TIME
+
+
+def _recomputed_at(request: MovingRequest, target: MoveTarget) -> int:
+    return max(0, request.tokens - request.cached_at.get(target.name, 0))
+
+
+def _lost_at_end(request: MovingRequest, seconds: Mapping[str, float]) -> int:
+    """Return the tokens to compute again if it runs until its upstream ends."""
+    left = seconds[request.upstream]
+    if request.remaining * request.decode_seconds <= left:
+        return 0
+    return request.tokens + int(max(0.0, left) / max(request.decode_seconds, 1e-9))
+
+
+def _fixed(request: MovingRequest, kind: MoveKind, recomputed: int) -> Move:
+    return Move(
+        request.id,
+        request.upstream,
+        kind,
+        MoveReason.FIXED_POLICY,
+        recomputed=recomputed,
+    )
--- /dev/null
+++ b/src/pepperstep/requests/probes.py
@@ -0,0 +1,161 @@
+"""Finds out what became of an upstream whose stream broke."""
+
+import enum
+from dataclasses import dataclass
+
+import trio
+
+from pepperstep.entities import Upstream
+from pepperstep.ports import Timers, UpstreamClient, UpstreamFault
+from pepperstep.requests.suspects import upstream_key
+from pepperstep.routing import UpstreamView
+
+__all__ = ["Diagnosis", "Health", "Probes"]
+
+_PROBE_SECONDS = 0.5
+# One broken connection says nothing yet.
+_TRIES = 2
+_KEEP_SECONDS = 0.25
+# Neighbours that are asked whether they live.
+_MAX_PEERS = 4
+# A neighbour known to be dead for longer was lost by itself.
+_TOGETHER_SECONDS = 1.0
+_SEEN_SECONDS = 3.0
+# Longer than the lease of an upstream.
+_FORGET_SECONDS = 10.0
+
+
+class Health(enum.Enum):
+    """State of one life of an upstream."""
+
+    ALIVE = enum.auto()
+    # Its process has ended: connections are refused, or a new life answers.
+    ENDED = enum.auto()
+    # Nothing answers in time: its host or the way to it is lost.
+    UNREACHABLE = enum.auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Diagnosis:
+    """Health of an upstream and of its neighbours.
+
+    Neighbours share its cloud host or, failing those, its zone.
+    """
+
+    health: Health
+    dead_peers: tuple[str, ...] = ()
+    live_peers: int = 0
+
+
+@dataclass(slots=True)
+class _Probe:
+    done: trio.Event
+    started_at: float
+    diagnosis: Diagnosis | None = None
+
+
+class Probes:
+    """Probes of upstreams, one at a time for each."""
+
+    def __init__(self, upstreams: UpstreamClient, view: UpstreamView, timers: Timers):
+        self._upstreams = upstreams
+        self._view = view
+        self._timers = timers
+        self._probes: dict[str, _Probe] = {}
+        # Upstreams seen of late, as a view may drop lost ones at once.
+        self._seen: dict[str, tuple[Upstream, float]] = {}
+        # When an upstream was first found dead, by life.
+        self._dead_since: dict[str, float] = {}
+
+    def note_present(self) -> None:
+        """Remember the upstreams that live now; called now and then."""
+        now = self._timers.now()
+        for upstream in self._view.candidates():
+            self._seen[upstream.name] = (upstream, now)
+        for name, (_, seen_at) in list(self._seen.items()):
+            if now - seen_at > _SEEN_SECONDS:
+                del self._seen[name]
+
+    async def diagnose(self, upstream: Upstream) -> Diagnosis:
+        """Return the upstream's state now; calls at the same time share a probe."""
+        key = upstream_key(upstream)
+        while True:
+            probe = self._probes.get(key)
+            now = self._timers.now()
+            if probe is None or now - probe.started_at > _KEEP_SECONDS:
+                return await self._start_probe(key, upstream)
+            await probe.done.wait()
+            if probe.diagnosis is not None:
+                return probe.diagnosis
+            # Whoever started it was cancelled.
+            self._probes.pop(key, None)
+
+    async def check(self, upstream: Upstream) -> Health:
+        """Return whether this life of the upstream goes on."""
+        health = Health.UNREACHABLE
+        with self._timers.move_on_after(_PROBE_SECONDS):
+            health = await self._read_state(upstream)
+        if health is Health.ENDED:
+            key = upstream_key(upstream)
+            self._dead_since.setdefault(key, self._timers.now())
+        return health
+
+    async def _start_probe(self, key: str, upstream: Upstream) -> Diagnosis:
+        probe = self._probes[key] = _Probe(trio.Event(), self._timers.now())
+        try:
+            probe.diagnosis = await self._probe_all(upstream)
+        finally:
+            probe.done.set()
+            self._forget_old()
+        return probe.diagnosis
+
+    async def _read_state(self, upstream: Upstream) -> Health:
+        for _ in range(_TRIES):
+            try:
+                state = await self._upstreams.read_state(upstream)
+            except UpstreamFault as fault:
+                if fault.has_answered:
+                    return Health.ALIVE
+            else:
+                is_same = state.epoch == upstream.epoch
+                return Health.ALIVE if is_same else Health.ENDED
+        return Health.ENDED
+
+    async def _probe_all(self, upstream: Upstream) -> Diagnosis:
+        health = await self.check(upstream)
+        if health is not Health.ENDED:
+            return Diagnosis(health)
+        dead: list[str] = []
+        live: list[str] = []
+        async with trio.open_nursery() as nursery:
+            for peer in self._neighbours(upstream):
+                nursery.start_soon(self._sort, peer, dead, live)
+        return Diagnosis(health, tuple(dead), len(live))
+
+    async def _sort(self, peer: Upstream, dead: list[str], live: list[str]) -> None:
+        health = await self.check(peer)
+        names = live if health is Health.ALIVE else dead
+        names.append(upstream_key(peer))
+
+    def _neighbours(self, upstream: Upstream) -> list[Upstream]:
+        """Return upstreams that a loss of the host or zone would take as well."""
+        self.note_present()
+        limit = self._timers.now() - _TOGETHER_SECONDS
+        others = [
+            other
+            for other, _ in self._seen.values()
+            if other.name != upstream.name
+            and self._dead_since.get(upstream_key(other), limit) >= limit
+        ]
+        on_host = [other for other in others if other.host == upstream.host]
+        in_zone = [other for other in others if other.zone == upstream.zone]
+        return (on_host or in_zone)[:_MAX_PEERS]
+
+    def _forget_old(self) -> None:
+        limit = self._timers.now() - _FORGET_SECONDS
+        for key, probe in list(self._probes.items()):
+            if probe.done.is_set() and probe.started_at < limit:
+                del self._probes[key]
+        for key, since in list(self._dead_since.items()):
+            if since < limit:
+                del self._dead_since[key]
--- /dev/null
+++ b/src/pepperstep/requests/suspects.py
@@ -0,0 +1,257 @@
+"""What the deciding host of a content knows: its losses and its runs.
+
+The upstreams that a content has ended and the distinct upstreams that run it
+are never more than two together, so no content ends a third one.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import xxhash
+
+from pepperstep.entities import Request, RequestKind, Upstream
+from pepperstep.proto import verdicts_pb2
+
+__all__ = ["Suspects", "content_of", "upstream_key"]
+
+# Distinct upstreams lost that convict a content.
+_CONVICTING_LOSSES = 2
+# A content that was answered whole isn't limited for this time.
+_ANSWERED_SECONDS = 600.0
+_LOSS_SECONDS = 600.0
+_HOLD_SECONDS = 3.0
+_MAX_CONTENTS = 100_000
+
+
+def content_of(request: Request) -> str:
+    """Return the hash of what may make an upstream crash.
+
+    Id, key, seed, length and priority are left out, since a caller changes
+    them when it sends its content again. Adapter and version are left out too,
+    as the same engines serve them.
+    """
+    if request.kind is RequestKind.SERVICE:
+        head = f"service\0{request.target}\0{request.method}\0{request.path}\0"
+        return xxhash.xxh3_128_hexdigest(head.encode() + request.body)
+    text = f"engine\0{request.model_key.model}\0{request.prompt}"
+    return xxhash.xxh3_128_hexdigest(text.encode())
+
+
+def upstream_key(upstream: Upstream) -> str:
+    """Return what names one life of an upstream."""
+    return f"{upstream.name}/{upstream.epoch}"
+
+
+@dataclass(slots=True)
+class _Run:
+    """A run that was granted."""
+
+    owner: str
+    incarnation: int
+    serial: int
+    upstream: str
+    zone: str
+    until: float
+
+
+@dataclass(slots=True)
+class _Content:
+    """State of one content."""
+
+    # Unix time of the loss, by upstream.
+    losses: dict[str, float] = field(default_factory=dict)
+    runs: dict[str, _Run] = field(default_factory=dict)
+    # Losses that it outlived: a run passed the position of the loss. With one
+    # of them it runs apart to its end.
+    passed: dict[str, float] = field(default_factory=dict)
+    answered_until: float = 0.0
+
+
+class Suspects:
+    """Contents that this host decides on, or keeps note of for the one that does.
+
+    `is_gone` tells whether a run's owner has ended; times are Unix seconds.
+    """
+
+    def __init__(
+        self, is_gone: Callable[[str, int], bool], verdict_seconds: float = 600.0
+    ):
+        self._is_gone = is_gone
+        self._verdict_seconds = verdict_seconds
+        self._contents: OrderedDict[str, _Content] = OrderedDict()
+        self._verdicts: dict[str, verdicts_pb2.Verdict] = {}
+        # Upstreams whose loss has another cause, and the time they're kept.
+        self._explained: dict[str, float] = {}
+        # Request that is the only suspect on an upstream, and its time's end.
+        self._holds: dict[str, tuple[str, float]] = {}
+
+    def verdict_on(self, content: str, now: float) -> verdicts_pb2.Verdict | None:
+        """Return the verdict on a content while it holds."""
+        verdict = self._verdicts.get(content)
+        return verdict if verdict is not None and verdict.until > now else None
+
+    def ask(
+        self, message: verdicts_pb2.RunContent, owner: str, now: float
+    ) -> verdicts_pb2.RunAnswer:
+        """Decide whether a run may start, and take note of it if so."""
+        verdict = self.verdict_on(message.content, now)
+        if verdict is not None:
+            return _answer(verdicts_pb2.PERMISSION_REFUSED, verdict=verdict)
+        content = self._content(message.content)
+        self._take_losses(content, message.lost, now)
+        self._prune(content, now)
+        content.runs.pop(message.request_id, None)
+        answer = self._permit(content, message, now)
+        if answer.permission == verdicts_pb2.PERMISSION_GRANTED:
+            content.runs[message.request_id] = _Run(
+                owner,
+                message.incarnation,
+                message.serial,
+                message.upstream,
+                message.zone,
+                message.until,
+            )
+        return answer
+
+    def end(self, ended: verdicts_pb2.EndedRun, owner: str, now: float) -> None:
+        """Take note of how a run ended, or that it passed its point of loss."""
+        content = self._contents.get(ended.content)
+        if content is None:
+            return
+        if ended.end == verdicts_pb2.RUN_END_PASSED:
+            content.passed |= content.losses
+            content.losses.clear()
+            return
+        run = content.runs.get(ended.request_id)
+        if run is not None and (run.owner, run.serial) == (owner, ended.serial):
+            del content.runs[ended.request_id]
+        if ended.end == verdicts_pb2.RUN_END_ANSWERED:
+            content.losses.clear()
+            content.passed.clear()
+            content.answered_until = now + _ANSWERED_SECONDS
+
+    def report(
+        self, message: verdicts_pb2.ReportLoss, now: float
+    ) -> verdicts_pb2.LossAnswer:
+        """Count a loss against a content, and convict it at the second."""
+        verdict = self.verdict_on(message.content, now)
+        if verdict is not None:
+            return verdicts_pb2.LossAnswer(verdict=verdict)
+        content = self._content(message.content)
+        content.runs.pop(message.request_id, None)
+        self._prune(content, now)
+        if self._is_explained(content, message, now):
+            return verdicts_pb2.LossAnswer()
+        for request_id, run in list(content.runs.items()):
+            if run.upstream == message.upstream:
+                del content.runs[request_id]
+        content.losses[message.upstream] = now
+        content.answered_until = 0.0
+        needed = _CONVICTING_LOSSES + message.is_shared
+        if len(content.losses) < needed:
+            return verdicts_pb2.LossAnswer(is_counted=True)
+        verdict = self._convict(message.content, content, now)
+        return verdicts_pb2.LossAnswer(is_counted=True, verdict=verdict)
+
+    def learn(self, verdict: verdicts_pb2.Verdict, now: float) -> None:
+        """Take a verdict; what it explains no longer counts against others."""
+        self._verdicts[verdict.content] = verdict
+        self.explain(verdict.upstreams, now)
+        for key in [k for k, v in self._verdicts.items() if v.until <= now]:
+            del self._verdicts[key]
+
+    def explain(self, upstreams: Iterable[str], now: float) -> None:
+        """Count the loss of these upstreams against no content."""
+        upstreams = list(upstreams)
+        for key in [k for k, until in self._explained.items() if until <= now]:
+            del self._explained[key]
+        for upstream in upstreams:
+            self._explained[upstream] = now + _LOSS_SECONDS
+        for content in self._contents.values():
+            for upstream in upstreams:
+                content.losses.pop(upstream, None)
+                content.passed.pop(upstream, None)
+
+    def hold(self, message: verdicts_pb2.HoldUpstream, now: float) -> bool:
+        """Let a request be the only suspect on an upstream for some seconds."""
+        holder, until = self._holds.get(message.upstream, ("", 0.0))
+        is_free = until <= now or holder == message.request_id
+        if message.is_release:
+            if holder == message.request_id:
+                del self._holds[message.upstream]
+            return False
+        if is_free:
+            self._holds[message.upstream] = (message.request_id, now + _HOLD_SECONDS)
+        return is_free
+
+    def _permit(
+        self, content: _Content, message: verdicts_pb2.RunContent, now: float
+    ) -> verdicts_pb2.RunAnswer:
+        is_suspect = bool(content.losses or content.passed)
+        granted = _answer(
+            verdicts_pb2.PERMISSION_GRANTED,
+            is_suspect=is_suspect,
+            is_strict=bool(content.passed),
+        )
+        if message.is_decided or content.answered_until > now:
+            return granted
+        if is_suspect:
+            wait = _answer(verdicts_pb2.PERMISSION_WAIT)
+            return wait if content.runs else granted
+        used = {run.upstream: run.zone for run in content.runs.values()}
+        if message.upstream in used or not used:
+            return granted
+        # The second upstream stands in another zone, so that the loss of a
+        # zone is never that of both.
+        is_apart = message.zone not in used.values()
+        if len(used) < _CONVICTING_LOSSES and is_apart:
+            return granted
+        return _answer(verdicts_pb2.PERMISSION_SHARE, upstreams=sorted(used))
+
+    def _take_losses(
+        self, content: _Content, upstreams: Iterable[str], now: float
+    ) -> None:
+        """Take losses that the run remembers, as this host may be new to them."""
+        for upstream in upstreams:
+            is_known = upstream in self._explained or content.answered_until > now
+            if not is_known and upstream not in content.passed:
+                content.losses.setdefault(upstream, now)
+
+    def _is_explained(
+        self, content: _Content, message: verdicts_pb2.ReportLoss, now: float
+    ) -> bool:
+        """Whether the upstream went for a cause that it shared with others."""
+        if self._explained.get(message.upstream, 0.0) > now:
+            return True
+        others = set(message.dead_peers) - content.losses.keys()
+        return bool(others) and len(others) >= message.live_peers
+
+    def _convict(self, key: str, content: _Content, now: float) -> verdicts_pb2.Verdict:
+        verdict = verdicts_pb2.Verdict(
+            content=key,
+            until=now + self._verdict_seconds,
+            upstreams=sorted(content.losses),
+        )
+        self._contents.pop(key, None)
+        self.learn(verdict, now)
+        return verdict
+
+    def _content(self, key: str) -> _Content:
+        content = self._contents.setdefault(key, _Content())
+        self._contents.move_to_end(key)
+        if len(self._contents) > _MAX_CONTENTS:
+            self._contents.popitem(last=False)
+        return content
+
+    def _prune(self, content: _Content, now: float) -> None:
+        for request_id, run in list(content.runs.items()):
+            if run.until <= now or self._is_gone(run.owner, run.incarnation):
+                del content.runs[request_id]
+        for upstream, lost_at in list(content.losses.items()):
+            if now - lost_at > _LOSS_SECONDS:
+                del content.losses[upstream]
+
+
+def _answer(permission: int, **values) -> verdicts_pb2.RunAnswer:
+    return verdicts_pb2.RunAnswer(permission=permission, **values)
