Changes that no log carries, paused and half-cut hosts

Cause: text that is no Unicode, names without end and long documents reached the log; two rules about confirmations had no test that failed without them. Conclusion: a change is checked before it is proposed, and a store gives all texts with their revisions.

--- a/src/pepperstep/configuration/changes.py
+++ b/src/pepperstep/configuration/changes.py
@@ -4,8 +4,9 @@
 import hashlib
 from dataclasses import dataclass
 
+from pepperstep.configuration.documents import MAX_DOCUMENT_BYTES
 from pepperstep.configuration.splices import make_splice
-from pepperstep.errors import Finding
+from pepperstep.errors import Code, Failure, Finding
 from pepperstep.proto import configuration_pb2
 
 __all__ = [
@@ -18,6 +19,9 @@
     "text_digest",
 ]
 
+_MAX_NAME_LENGTH = 200
+_MAX_REVISION = 2**63
+
 
 class ChangeStatus(enum.StrEnum):
     """How a change ended."""
@@ -87,8 +91,10 @@
     """Return the command for `change`.
 
     With `last_text`, the document's text at `from_revision`, the command holds
-    only what differs from it.
+    only what differs from it. Raise `Failure` with `INVALID_REQUEST` or
+    `BODY_TOO_LARGE` for a change that no log should carry.
     """
+    _check(change)
     command = configuration_pb2.ChangeCommand(
         change_id=change.change_id,
         document=change.document,
@@ -115,3 +121,21 @@
         Finding(found.file, found.path, found.text) for found in result.findings
     )
     return ChangeAnswer(ChangeStatus(result.status), result.revision, winner, findings)
+
+
+def _check(change: Change) -> None:
+    for name in ("change_id", "document", "operator"):
+        if not 0 < len(getattr(change, name)) <= _MAX_NAME_LENGTH:
+            text = f"`{name}` must have 1 to {_MAX_NAME_LENGTH} characters."
+            raise Failure(Code.INVALID_REQUEST, text)
+    if not 0 <= change.from_revision <= _MAX_REVISION:
+        raise Failure(Code.INVALID_REQUEST, "`from_revision` is out of range.")
+    try:
+        fields = (change.change_id, change.document, change.operator, change.site)
+        size = len("".join((*fields, change.text)).encode())
+    except UnicodeEncodeError as error:
+        text = "The change holds what is no Unicode text."
+        raise Failure(Code.INVALID_REQUEST, text) from error
+    if size > MAX_DOCUMENT_BYTES:
+        text = f"The document is longer than {MAX_DOCUMENT_BYTES} bytes."
+        raise Failure(Code.BODY_TOO_LARGE, text)
--- a/src/pepperstep/configuration/distribution.py
+++ b/src/pepperstep/configuration/distribution.py
@@ -8,7 +8,7 @@
 import contextlib
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import trio
 from absl import logging
@@ -28,7 +28,7 @@
 from pepperstep.configuration.push import PushTree
 from pepperstep.configuration.schema import Configuration
 from pepperstep.configuration.stored import load_stored, save_stored
-from pepperstep.configuration.versions import DocumentVersions
+from pepperstep.configuration.versions import DocumentVersions, TextVersion
 from pepperstep.errors import Failure, InvalidDocument
 from pepperstep.ports import Agreement, PeerNetwork, Storage, Timers
 from pepperstep.proto.configuration_pb2 import (
@@ -137,6 +137,11 @@
         """Whether no confirmation came for long; the revision may be old."""
         return self._is_cut_off
 
+    @property
+    def texts(self) -> Mapping[str, TextVersion]:
+        """The documents by name, each with the revision of its last change."""
+        return self._held.texts
+
     def subscribe(self, callback: Callable[[Configuration], None]) -> None:
         """Call `callback` with each configuration that comes in force."""
         self._callbacks.append(callback)
--- a/tests/configuration/cluster.py
+++ b/tests/configuration/cluster.py
@@ -29,6 +29,7 @@
         self.names = self.controls + [f"e{number}" for number in range(entries)]
         self.disks = {name: FakeDisk() for name in self.controls}
         self.stores = {}
+        self.timers = {}
         self._scopes = {}
 
     async def start(self, *names):
@@ -43,7 +44,7 @@
 
     async def _run_host(self, name, task_status):
         rng = random.Random(name)
-        timers = FakeTimers(rng)
+        timers = self.timers[name] = FakeTimers(rng)
         with trio.CancelScope() as self._scopes[name]:
             async with trio.open_nursery() as nursery:
                 peers = FakePeers(name, self.network, timers, nursery)
--- a/tests/configuration/test_change_machine.py
+++ b/tests/configuration/test_change_machine.py
@@ -1,5 +1,7 @@
 """Changes in the log: who wins, resends, rights, snapshots."""
 
+import dataclasses
+
 import pytest
 from hypothesis import given, settings, strategies as st
 
@@ -189,6 +191,25 @@
     assert caught.value.code == Code.CORRUPT_STORAGE
 
 
+@pytest.mark.parametrize(
+    ("fields", "code"),
+    [
+        ({"change_id": ""}, Code.INVALID_REQUEST),
+        ({"change_id": "x" * 201}, Code.INVALID_REQUEST),
+        ({"operator": ""}, Code.INVALID_REQUEST),
+        ({"from_revision": -1}, Code.INVALID_REQUEST),
+        ({"from_revision": 2**64}, Code.INVALID_REQUEST),
+        ({"text": "\ud800"}, Code.INVALID_REQUEST),
+        ({"text": "é" * 200_000}, Code.BODY_TOO_LARGE),
+    ],
+)
+def test_changes_that_no_log_carries(fields, code):
+    value = dataclasses.replace(change("kitahara", KITAHARA, 3), **fields)
+    with pytest.raises(Failure) as caught:
+        encode_change(value)
+    assert caught.value.code == code
+
+
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(st.text("abé\n", max_size=12), st.text("abé\n", max_size=12))
 def test_splice_turns_one_text_into_the_other(old, new):
--- a/tests/configuration/test_distribution.py
+++ b/tests/configuration/test_distribution.py
@@ -171,6 +171,39 @@
     assert await load_stored(disk) is None
 
 
+async def test_paused_and_half_cut_hosts(autojump_clock):
+    async with open_cluster(entries=6) as cluster:
+        frozen, deaf = cluster.stores["e0"], cluster.stores["e1"]
+        cluster.timers["e0"].pause()
+        # What e1 sends is lost, what is sent to it arrives.
+        for name in cluster.names:
+            cluster.network.cut("e1", name)
+        await trio.sleep(60.0)
+        revision = await cluster.apply("bantayog", more(BANTAYOG, 1))
+        await trio.sleep(IN_FORCE_SECONDS)
+        assert cluster.lagging(revision) == ["e0"]
+        assert deaf.is_cut_off and deaf.staleness > 55.0
+        cluster.timers["e0"].resume()
+        await trio.sleep(0.0)
+        assert frozen.staleness > 55.0
+        await trio.sleep(IN_FORCE_SECONDS)
+        assert cluster.lagging(revision) == []
+        assert frozen.staleness < 5.0
+
+
+async def test_answer_from_before_a_pause_confirms_that_time_only(autojump_clock):
+    async with open_cluster(entries=1) as cluster:
+        cluster.network.min_delay = cluster.network.max_delay = 0.1
+        sent = cluster.network.sent["ConfigurationPoll"]
+        while cluster.network.sent["ConfigurationPoll"] == sent:
+            await trio.sleep(0.01)
+        cluster.timers["e0"].pause()
+        await trio.sleep(60.0)
+        cluster.timers["e0"].resume()
+        await trio.sleep(0.05)
+        assert cluster.stores["e0"].staleness > 59.0
+
+
 async def test_no_revision_is_served_before_it_is_on_the_disk(autojump_clock):
     async with open_cluster(entries=1) as cluster:
         disk = cluster.disks["c2"]
@@ -182,6 +215,8 @@
         revision = await cluster.apply("bantayog", more(BANTAYOG, 1))
         await trio.sleep(3.0)
         assert cluster.lagging(revision) == ["c2"]
+        # It knows of the newer one, so nobody confirms what it serves.
+        assert cluster.stores["c2"].staleness > 2.0
         disk.before = lambda operation, name: None
         await trio.sleep(2.0)
         assert cluster.lagging(revision) == []
@@ -214,7 +249,7 @@
         await trio.sleep(IN_FORCE_SECONDS)
         assert cluster.lagging(revision) == []
         for name in ("base", "bantayog"):
-            assert store.text_of(name) == cluster.stores["c0"].text_of(name)
+            assert store.texts[name] == cluster.stores["c0"].texts[name]
 
 
 async def test_resend_after_a_lost_reply_and_doubled_commits(autojump_clock):
