Fleet: headroom where the number of replicas is bound, and tests of the decisions

Cause: at the largest number of replicas all of them went to the cheapest zone, since no headroom could be whole. What can be borne is now the even spread of that number.

--- a/src/pepperstep/fleet/policies.py
+++ b/src/pepperstep/fleet/policies.py
@@ -9,8 +9,9 @@
 
 from pepperstep.fleet.history import PoolKey
 from pepperstep.fleet.views import DeploymentView, PoolView
+from pepperstep.ports import PriceClass
 
-__all__ = ["POLICIES", "Policy", "risk_price", "worst_loss"]
+__all__ = ["POLICIES", "Policy", "bearable_base", "risk_price", "worst_loss"]
 
 Policy = Callable[[DeploymentView], Counter[PoolKey]]
 
@@ -48,6 +49,11 @@
     count: int
     is_kept: bool
 
+    @property
+    def is_reclaimable(self) -> bool:
+        """Whether the cloud may take its hosts back."""
+        return self.key.price_class is PriceClass.RECLAIMABLE
+
 
 @dataclass(frozen=True, slots=True)
 class _Choice:
@@ -55,6 +61,8 @@
 
     counts: Counter[PoolKey]
     shortage: int
+    # What it lacks after the loss of a zone.
+    uncovered: int
     cost: float
 
 
@@ -65,17 +73,38 @@
     make up for that loss; the zones are filled up to it, cheapest first.
     On-demand hosts, which aren't taken back, fill the rest.
     """
-    choices = [_choose(view, loss) for loss in range(view.need.wanted + 1)]
-    return min(choices, key=lambda choice: (choice.shortage, choice.cost)).counts
+    lots = _lots(view)
+    base = bearable_base(view)
+    losses = range(view.need.wanted + 1)
+    choices = [_choose(view, base, lots, loss) for loss in losses]
+    return min(choices, key=_choice_order).counts
+
+
+def _choice_order(choice: _Choice) -> tuple:
+    return choice.shortage, choice.uncovered, choice.cost
+
+
+def bearable_base(view: DeploymentView) -> int:
+    """Return the replicas that must remain after the loss of a zone.
+
+    Where the largest number of replicas leaves too little headroom, it's what
+    remains of that number spread evenly.
+    """
+    zones = len({pool.key.zone for pool in view.pools if pool.is_reclaimable})
+    if zones < 2:
+        return view.need.base
+    return min(view.need.base, view.max_replicas - -(-view.max_replicas // zones))
 
 
-def _choose(view: DeploymentView, loss: int) -> _Choice:
-    total = max(view.need.wanted, view.need.base + loss - view.startable)
-    total = min(total, view.max_replicas)
+def _choose(view: DeploymentView, base: int, lots: list[_Lot], loss: int) -> _Choice:
+    covering = base + loss - view.startable
+    total = min(max(view.need.wanted, covering), view.max_replicas)
     counts: Counter[PoolKey] = Counter()
     cost = 0.0
     by_zone: Counter[str] = Counter()
-    for lot in _lots(view, True):
+    for lot in lots:
+        if not lot.is_reclaimable:
+            continue
         room = min(loss - by_zone[lot.key.zone], total - counts.total())
         taken = max(0, min(room, lot.count))
         by_zone[lot.key.zone] += taken
@@ -84,20 +113,22 @@
     limit = total
     if view.cost_weight > _COST_FIRST:
         limit = min(total, max(view.need.base, counts.total()))
-    for lot in _lots(view, False):
+    for lot in lots:
+        if lot.is_reclaimable:
+            continue
         room = (total if lot.is_kept else limit) - counts.total()
         taken = max(0, min(room, lot.count))
         counts[lot.key] += taken
         cost += taken * lot.price
-    return _Choice(+counts, total - counts.total(), cost)
+    shortage = total - counts.total()
+    return _Choice(+counts, shortage, max(0, covering - total), cost)
 
 
-def _lots(view: DeploymentView, is_reclaimable: bool) -> list[_Lot]:
+def _lots(view: DeploymentView) -> list[_Lot]:
+    """Return what there is to take, cheapest first."""
     have = Counter(host.key for host in view.counted)
     lots = []
     for pool in view.pools:
-        if pool.is_reclaimable is not is_reclaimable:
-            continue
         price = risk_price(pool, view.cost_weight)
         if have[pool.key]:
             kept = _Lot(price * _KEPT_SHARE, pool.key, have[pool.key], True)
--- /dev/null
+++ b/tests/fleet/day.py
@@ -0,0 +1,170 @@
+"""A seeded day of two deployments, planned in steps of half a minute."""
+
+import math
+import random
+from dataclasses import dataclass, field
+
+from pepperstep.configuration import Deployment
+from pepperstep.fleet import (
+    Demand,
+    DeploymentView,
+    HostView,
+    Pool,
+    PoolKey,
+    PoolView,
+    StartHost,
+    needed_replicas,
+    plan_fleet,
+)
+from pepperstep.fleet.demand import PeakDemand
+from pepperstep.fleet.history import Mark, MarkKind, decayed_count
+from pepperstep.ports import PriceClass
+
+STEP = 30.0
+STEPS = 2880
+SLOTS = 16
+_START_SECONDS = 120.0
+_REFUSED_SECONDS = 900.0
+_WAVES_A_DAY = 6
+_PEAK_WINDOW = 300.0
+
+
+@dataclass
+class DayHost:
+    """A rented host and when it's ready."""
+
+    token: str
+    key: PoolKey
+    price: float
+    ready_at: float
+
+
+@dataclass
+class Day:
+    """One deployment's day under one policy."""
+
+    policy: str
+    deployment: Deployment
+    zones: tuple[str, ...]
+    seed: int
+    cost: float = 0.0
+    # Steps in which the ready slots were fewer than the requests.
+    short_steps: int = 0
+    wave_steps: int = 0
+    short_wave_steps: int = 0
+    hosts: list[DayHost] = field(default_factory=list)
+    _pools: dict[PoolKey, Pool] = field(default_factory=dict)
+    _refused_until: dict[str, float] = field(default_factory=dict)
+
+    def run(self) -> "Day":
+        """Run the whole day; the same seed brings the same demand and waves."""
+        outside = random.Random(self.seed)
+        peak = PeakDemand(_PEAK_WINDOW)
+        last_wave = -math.inf
+        for number in range(STEPS):
+            now = number * STEP
+            busy = _busy(number, outside)
+            if outside.random() < _WAVES_A_DAY / STEPS:
+                self._reclaim(outside.choice(self.zones), now)
+                last_wave = now
+            roll = outside.random()
+            is_wave = now - last_wave < _PEAK_WINDOW
+            self._count(now, busy, is_wave)
+            need = needed_replicas(peak.note(now, Demand(busy)), self.deployment)
+            self._plan(now, need, roll)
+        return self
+
+    @property
+    def held_share(self) -> float:
+        """Share of the steps in which the ready slots were enough."""
+        return 1 - self.short_steps / STEPS
+
+    @property
+    def held_wave_share(self) -> float:
+        """The same for the steps shortly after a zone was taken back."""
+        return 1 - self.short_wave_steps / max(1, self.wave_steps)
+
+    def _count(self, now: float, busy: float, is_wave: bool) -> None:
+        self.cost += sum(host.price for host in self.hosts) * STEP / 3600
+        ready = sum(host.ready_at <= now for host in self.hosts)
+        is_short = now > _START_SECONDS * 2 and ready * SLOTS < busy
+        self.short_steps += is_short
+        self.wave_steps += is_wave
+        self.short_wave_steps += is_short and is_wave
+
+    def _reclaim(self, zone: str, now: float) -> None:
+        """Take a zone back; for a while it starts nothing, nor does the next."""
+        lost = [
+            host
+            for host in self.hosts
+            if host.key.zone == zone and host.key.price_class is PriceClass.RECLAIMABLE
+        ]
+        for host in lost:
+            self.hosts.remove(host)
+            self._mark(Mark(host.key, MarkKind.RECLAIMED, now + 90), now)
+        other = self.zones[(self.zones.index(zone) + 1) % len(self.zones)]
+        for refused in (zone, other):
+            self._refused_until[refused] = now + _REFUSED_SECONDS
+
+    def _plan(self, now: float, need, roll: float) -> None:
+        view = DeploymentView(
+            "day",
+            need,
+            tuple(
+                HostView(h.token, h.token, h.key, h.price, h.ready_at <= now)
+                for h in self.hosts
+            ),
+            tuple(self._pool_views(now)),
+            self.deployment.max_replicas,
+            self.deployment.cost_weight,
+            0,
+            now > _PEAK_WINDOW,
+        )
+        for number, decision in enumerate(plan_fleet([view], self.policy)):
+            if isinstance(decision, StartHost):
+                key = PoolKey.of(decision.offer)
+                self._start(f"{now}-{number}", key, decision.offer.price, now, roll)
+            else:
+                self.hosts = [h for h in self.hosts if h.token != decision.token]
+
+    def _start(self, token: str, key: PoolKey, price: float, now: float, roll) -> None:
+        is_refusing = self._refused_until.get(key.zone, 0) > now
+        if is_refusing and key.price_class is PriceClass.RECLAIMABLE:
+            wait = min(300.0, 5.0 * 2 ** self._pools.get(key, Pool()).refusals_in_row)
+            wait *= 0.5 + roll / 2
+            self._mark(Mark(key, MarkKind.REFUSED, now + wait), now)
+            return
+        self._mark(Mark(key, MarkKind.STARTED), now)
+        self.hosts.append(DayHost(token, key, price, now + _START_SECONDS))
+
+    def _mark(self, mark: Mark, now: float) -> None:
+        self._pools[mark.key] = self._pools.get(mark.key, Pool()).marked(mark, now)
+
+    def _pool_views(self, now: float) -> list[PoolView]:
+        views = []
+        for number, zone in enumerate(self.zones):
+            wave = math.sin(now / 86400 * 2 * math.pi + number)
+            prices = {
+                PriceClass.RECLAIMABLE: 0.34 + 0.04 * number + 0.05 * wave,
+                PriceClass.ON_DEMAND: 1.0 + 0.02 * number,
+            }
+            for price_class, price in prices.items():
+                key = PoolKey(zone, "gpu", price_class)
+                pool = self._pools.get(key, Pool())
+                views.append(
+                    PoolView(
+                        key,
+                        price,
+                        decayed_count(pool.reclaims, now),
+                        decayed_count(pool.refusals, now),
+                        now >= pool.blocked_until,
+                    )
+                )
+        return views
+
+
+def _busy(number: int, rng: random.Random) -> float:
+    """Return the requests in progress: a day's curve with noise."""
+    curve = 0.5 - 0.5 * math.cos(number / STEPS * 2 * math.pi)
+    mean = 15 + 65 * curve
+    return max(0.0, rng.gauss(mean, math.sqrt(mean)))
--- a/tests/fleet/test_every_step.py
+++ b/tests/fleet/test_every_step.py
@@ -24,6 +24,10 @@
         site.check_whole(2)
         assert len(site.cloud.hosts) == 5
         assert len(site.points) == _STEPS
+        times = {(e.kind, e.subject): e.time for e in site.machine.events.since()}
+        for host in ("host-3", "host-4"):
+            waited = times["stop_done", host] - times["stop", host]
+            assert waited >= site.tuning.drain_settle
 
 
 @pytest.mark.parametrize("step", range(1, _STEPS + 1))
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -180,9 +180,13 @@
     async with Site.start() as site:
         await trio.sleep(9.9)
         # Another life of the system has given higher numbers.
+        for engine in site.engines:
+            engine.fence = 1000
+        await trio.sleep(40)
+        assert len(loads(site)) <= 3 * 40 / site.tuning.refused_pause
         for engine in site.engines:
             engine.fence = 12
-        await trio.sleep(60)
+        await trio.sleep(20)
         site.check_whole(3)
         refused = [a for a in site.machine.finished if a.state == "refused"]
         assert refused
