--- a/src/pepperstep/consensus/repair.py
+++ b/src/pepperstep/consensus/repair.py
@@ -81,7 +81,8 @@
                 return False
             if progress.match_index < self._replica.commit_index:
                 return False
-        return self.is_settled(leadership)
+        is_synced = self._replica.synced_index >= self._replica.commit_index
+        return is_synced and self.is_settled(leadership)
 
     def _next_membership(self, leadership: Leadership) -> Membership:
         """Return the membership after at most one change of a voter."""
--- a/tests/consensus/test_files.py
+++ b/tests/consensus/test_files.py
@@ -73,6 +73,13 @@
         assert _read(bytes(data)) == payloads
 
 
+def test_zeros_in_the_middle_are_no_torn_end():
+    data = bytearray(_file([b"a" * 2000, b"b"]))
+    data[512:1024] = bytes(512)
+    with pytest.raises(Failure, match="others follow"):
+        _read(bytes(data))
+
+
 def test_frame_within_a_payload_is_none():
     """A copy of a frame in a torn write isn't taken for a frame that follows."""
     inner = encode_frame(5, b"inner", 7, 0)
--- a/tests/consensus/test_repair.py
+++ b/tests/consensus/test_repair.py
@@ -23,6 +23,18 @@
         await cluster.settle()
 
 
+async def test_first_start_needs_agreement(autojump_clock):
+    """Hosts that are there but have agreed to nothing don't make a start."""
+    async with open_cluster() as cluster:
+        for name in cluster.names:
+            await cluster.start(name)
+            if name != "a":
+                formation = cluster.consensus(name)._formation
+                formation._ask_all = trio.sleep_forever
+        await trio.sleep(10)
+        assert not cluster.consensus("a")._replica.is_member
+
+
 @pytest.mark.parametrize("step", range(12))
 @pytest.mark.parametrize("is_disk_lost", [False, True])
 async def test_crash_in_first_start(autojump_clock, step, is_disk_lost):
@@ -113,6 +125,21 @@
         await cluster.settle()
 
 
+async def test_no_repair_to_a_single_voter(autojump_clock):
+    """Two disks lost before the repair: one that is left can't go on alone."""
+    async with open_cluster() as cluster:
+        await cluster.start()
+        leader = await cluster.wait_leader()
+        lost, other = (name for name in cluster.names if name != leader)
+        cluster.hosts[lost].disk.before = _refuse_log
+        await cluster.restart(lost, is_disk_lost=True)
+        await trio.sleep(5)
+        await cluster.restart(other, is_disk_lost=True)
+        with pytest.raises(Failure):
+            await cluster.propose(leader, 5)
+        assert len(cluster.consensus(leader).status().voters) == 2
+
+
 def _refuse_log(operation: str, name: str) -> None:
     if "-log-" in name:
         raise OSError("No space left.")
