--- a/src/pepperstep/adapters/http_api/app.py
+++ b/src/pepperstep/adapters/http_api/app.py
@@ -58,7 +58,7 @@
             ("GET", "/metrics"): self._answer_metrics,
         }
         self._prefixes: list[tuple[str, Route]] = [
-            ("/v1/requests/", callers.resume),
+            ("/v1/requests/", callers.handle_request),
             ("/services/", callers.call_service),
         ]
         if operators is not None:
--- a/src/pepperstep/adapters/http_api/calls.py
+++ b/src/pepperstep/adapters/http_api/calls.py
@@ -91,21 +91,33 @@
         headers = ((b"x-request-id", run.id.encode()),)
         return Reply(answer.status, answer.body, answer.content_type, headers)
 
-    async def resume(self, call: Call) -> None:
-        """Answer `/v1/requests/ID/events` from the position in Last-Event-ID."""
+    async def handle_request(self, call: Call) -> Reply | None:
+        """Answer `/v1/requests/ID/events`, or a DELETE of `/v1/requests/ID`."""
         caller = self._intake.caller_of(call)
         request_id, _, rest = call.path.removeprefix("/v1/requests/").partition("/")
-        if call.method != "GET" or rest != "events":
-            raise Failure(
-                Code.UNKNOWN_NAME, f"No such path: {call.method} {call.path[:200]}."
-            )
+        if (call.method, rest) == ("GET", "events"):
+            await self._resume(call, request_id, caller.workspace)
+            return None
+        if (call.method, rest) == ("DELETE", ""):
+            return await self._cancel(request_id, caller.workspace)
+        text = f"No such path: {call.method} {call.path[:200]}."
+        raise Failure(Code.UNKNOWN_NAME, text)
+
+    async def _cancel(self, request_id: str, workspace: str) -> Reply:
+        kind_of(request_id)
+        if not await self._node.requests.cancel(request_id, workspace):
+            raise Failure(Code.UNKNOWN_REQUEST, f"No host knows {request_id[:200]}.")
+        return json_reply({"id": request_id, "is_cancelled": True})
+
+    async def _resume(self, call: Call, request_id: str, workspace: str) -> None:
+        """Send the stream from the position in Last-Event-ID on."""
         kind = kind_of(request_id)
         if kind is RequestKind.SERVICE:
             raise Failure(Code.INVALID_REQUEST, "Only streams can be resumed.")
         position = position_of(call.header("last-event-id"))
         call.request_id = request_id
         writer = openai.ChunkWriter(kind, request_id, "")
-        await self._answers.stream(call, caller.workspace, position, writer)
+        await self._answers.stream(call, workspace, position, writer)
 
     async def _generate(self, call: Call, kind: RequestKind) -> Reply | None:
         position = position_of(call.header("last-event-id"))
--- a/src/pepperstep/adapters/http_api/ports.py
+++ b/src/pepperstep/adapters/http_api/ports.py
@@ -17,9 +17,10 @@
     UpstreamView,
 )
 from pepperstep.ports import Directory, Timers
-from pepperstep.requests import Part, Run
+from pepperstep.requests import Part
 
 __all__ = [
+    "Accepted",
     "ConfigurationSource",
     "EntryNode",
     "Operators",
@@ -28,15 +29,26 @@
 ]
 
 
+class Accepted(Protocol):
+    """A request that will be answered."""
+
+    @property
+    def id(self) -> str:
+        """Id of the request, of an earlier one if it had the same key."""
+
+
 class RequestSource(Protocol):
     """Requests as callers hand them in and read them."""
 
-    async def submit(self, request: Request) -> Run:
-        """Accept a request, or return the run of an equal `idempotency_key`.
+    async def submit(self, request: Request) -> Accepted:
+        """Accept a request, or find the earlier one of its idempotency key.
 
         Raise `Failure` if it isn't accepted; it has not run then.
         """
 
+    async def cancel(self, request_id: str, workspace: str) -> bool:
+        """Stop a request; return whether it was found."""
+
     def read(
         self, request_id: str, workspace: str, position: int = 0
     ) -> AsyncGenerator[Part, None]:
--- a/tests/api/fake_node.py
+++ b/tests/api/fake_node.py
@@ -123,6 +123,7 @@
     hangs_after: int | None = None
     submitted: list[Request] = field(default_factory=list)
     reads_closed: int = 0
+    cancelled: list[tuple[str, str]] = field(default_factory=list)
 
     async def submit(self, request: Request) -> Any:
         """Accept a request."""
@@ -138,6 +139,11 @@
         self.submitted.append(request)
         return SimpleNamespace(id=request.id)
 
+    async def cancel(self, request_id: str, workspace: str) -> bool:
+        """Note that a request is to end, if it's known."""
+        self.cancelled.append((request_id, workspace))
+        return request_id in {each.id for each in self.submitted}
+
     async def read(
         self, request_id: str, workspace: str, position: int = 0
     ) -> AsyncGenerator[Part, None]:
--- a/tests/api/test_callers.py
+++ b/tests/api/test_callers.py
@@ -83,6 +83,15 @@
     assert "".join(texts) == "".join(ANSWER[2:])
 
 
+async def test_request_is_cancelled(autojump_clock):
+    node = FakeNode()
+    first = await ask(node.api(), "POST", PROMPT_PATH, PROMPT)
+    request_id = first.headers["x-request-id"]
+    answer = await ask(node.api(), "DELETE", f"/v1/requests/{request_id}")
+    assert answer.json == {"id": request_id, "is_cancelled": True}
+    assert node.requests.cancelled == [(request_id, "planners")]
+
+
 async def test_service_gets_path_query_and_body_as_sent(autojump_clock):
     node = FakeNode()
     path = "/services/venue-desk/charts/a%20b?hall=%E5%BA%83&x=1"
@@ -208,6 +217,8 @@
     ("DELETE", "/v1/requests/entry-0.cmpl-1/events", {}, Code.UNKNOWN_NAME),
     ("GET", "/v1/requests/entry-0.cmpl-1/events", {}, Code.UNKNOWN_REQUEST),
     ("GET", "/v1/requests/junk/events", {}, Code.UNKNOWN_REQUEST),
+    ("DELETE", "/v1/requests/junk", {}, Code.UNKNOWN_REQUEST),
+    ("DELETE", "/v1/requests/entry-0.cmpl-1", {}, Code.UNKNOWN_REQUEST),
     ("GET", "/v1/requests/entry-0.call-1/events", {}, Code.INVALID_REQUEST),
     (
         "GET",
