--- a/src/pepperstep/routing/__init__.py
+++ b/src/pepperstep/routing/__init__.py
@@ -1,5 +1,25 @@
 """Chooses upstreams for requests, and limits what is taken on."""
 
-from pepperstep.routing.router import Placement, Router, UpstreamView
+from pepperstep.routing.explanations import Explanation
+from pepperstep.routing.placement import Placement
+from pepperstep.routing.pools import UpstreamView
+from pepperstep.routing.prediction import Prediction
+from pepperstep.routing.prefixes import CacheEvent
+from pepperstep.routing.retries import RetryBudget, RetryCause
+from pepperstep.routing.router import Router
+from pepperstep.routing.settings import RoutingSettings
+from pepperstep.routing.status import RoutingStatus, UpstreamStatus
 
-__all__ = ["Placement", "Router", "UpstreamView"]
+__all__ = [
+    "CacheEvent",
+    "Explanation",
+    "Placement",
+    "Prediction",
+    "RetryBudget",
+    "RetryCause",
+    "Router",
+    "RoutingSettings",
+    "RoutingStatus",
+    "UpstreamStatus",
+    "UpstreamView",
+]
--- /dev/null
+++ b/src/pepperstep/routing/admission.py
@@ -0,0 +1,138 @@
+"""Refuses requests that would wait too long, before they are accepted."""
+
+import random
+from dataclasses import dataclass
+
+from pepperstep.entities import Priority, Request
+from pepperstep.errors import Code, Failure
+from pepperstep.routing.pools import Pool
+from pepperstep.routing.settings import RoutingSettings
+from pepperstep.routing.terms import Terms
+from pepperstep.routing.work import pool_key
+
+__all__ = ["Admission", "Room", "check_served", "latest_start"]
+
+_NO_UPSTREAM_SECONDS = 1.0
+_LEAST_RETRY_SECONDS = 0.1
+# An accepted request that hasn't asked for its place after this never will.
+_ADMITTED_SECONDS = 2.0
+_JITTER = 0.5
+# Answers after which their length is taken as known.
+_KNOWN_ANSWERS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """Places that a request could have now, and what waits of its workspace."""
+
+    free: float
+    waiting: int
+
+
+class Admission:
+    """Decides on new requests by the work ahead of them and how it drains."""
+
+    def __init__(self, settings: RoutingSettings, terms: Terms, rng: random.Random):
+        self._settings = settings
+        self._terms = terms
+        self._rng = rng
+        # Requests let in that haven't asked for a place, and since when.
+        self._admitted: dict[str, tuple[Request, float]] = {}
+
+    def admit(
+        self, request: Request, pool: Pool, room: Room, remaining: float, now: float
+    ) -> None:
+        """Count a request in until it asks for its place.
+
+        `remaining` seconds are left until its deadline. Raise `Failure` if it
+        is not to be accepted.
+        """
+        self._prune(now)
+        admitted = [each for each, _ in self._admitted.values()]
+        free = room.free - sum(pool_key(each) == pool.key for each in admitted)
+        wait = self.predict_wait(pool, request) if free < 1 else 0.0
+        waiting = room.waiting
+        waiting += sum(each.workspace == request.workspace for each in admitted)
+        if wait > 0.0 and waiting >= self._terms.max_queue:
+            raise self._full(request, wait / waiting)
+        if wait > 0.0 and self._settings.refuses_early:
+            self._check_times(request, pool, wait, remaining)
+        self._admitted[request.id] = (request, now)
+
+    def note_queued(self, request: Request) -> None:
+        """Note that a request asks for its place."""
+        self._admitted.pop(request.id, None)
+
+    def predict_wait(self, pool: Pool, request: Request) -> float:
+        """Return the seconds until a request would start, by the present drain.
+
+        By Little's law places free at the rate of those held over the time
+        that each is held.
+        """
+
+        def hold_of(priority: Priority) -> float:
+            hold = pool.holds[priority]
+            if hold.count:
+                return hold.value
+            return pool.hold.value or request.max_tokens * pool.decode_seconds
+
+        ahead = pool.queue.work_ahead(request, hold_of)
+        return ahead / max(1, pool.in_flight)
+
+    def _check_times(
+        self, request: Request, pool: Pool, wait: float, remaining: float
+    ) -> None:
+        first_token = wait + pool.first_token.value
+        answer = request.max_tokens * pool.answer_shares[request.priority].value
+        late = first_token + answer * pool.decode_seconds - remaining
+        if request.priority is Priority.INTERACTIVE:
+            target = self._terms.targets_of(request).first_token
+            allowed = target * self._settings.refusal_multiple
+            late = max(late, first_token - allowed)
+        if late > 0:
+            raise Failure(
+                Code.OVERLOADED,
+                f"The first token would take {first_token:.2f} s.",
+                retry_after=self._return_after(min(late, wait)),
+            )
+
+    def _prune(self, now: float) -> None:
+        for request_id, (_, admitted_at) in list(self._admitted.items()):
+            if now - admitted_at <= _ADMITTED_SECONDS:
+                return
+            del self._admitted[request_id]
+
+    def _full(self, request: Request, seconds_each: float) -> Failure:
+        return Failure(
+            Code.QUEUE_FULL,
+            f"{self._terms.max_queue} requests of {request.workspace} wait.",
+            retry_after=self._return_after(seconds_each),
+        )
+
+    def _return_after(self, seconds: float) -> float:
+        """Return a time to come back, spread so that not all come at once."""
+        jitter = 1 + _JITTER * self._rng.random()
+        return max(_LEAST_RETRY_SECONDS, seconds) * jitter
+
+
+def check_served(request: Request, pool: Pool) -> None:
+    """Raise `Failure` with `NO_UPSTREAM` if nothing serves the request."""
+    if not pool.members:
+        raise Failure(
+            Code.NO_UPSTREAM,
+            f"No upstream serves {request.target} now.",
+            retry_after=_NO_UPSTREAM_SECONDS,
+        )
+
+
+def latest_start(request: Request, pool: Pool, left_tokens: int) -> float:
+    """Return the Unix time after which the deadline surely can't be met.
+
+    Only lengths that answers have rarely fallen below are counted on.
+    """
+    shares = pool.answer_shares[request.priority]
+    if shares.count < _KNOWN_ANSWERS:
+        return request.deadline
+    share = max(0.0, shares.value - 2 * shares.deviation)
+    sure_tokens = max(0.0, left_tokens - (1 - share) * request.max_tokens)
+    return request.deadline - sure_tokens * pool.decode_seconds
--- /dev/null
+++ b/src/pepperstep/routing/breakers.py
@@ -0,0 +1,139 @@
+"""Ejects upstreams that fail or are slow, and lets them return."""
+
+import enum
+from collections import deque
+from collections.abc import Callable, Sequence
+
+from pepperstep.routing.settings import RoutingSettings
+
+__all__ = ["BREAKERS", "Breaker", "BreakerPolicy", "BreakerState", "limit_ejected"]
+
+
+class BreakerState(enum.StrEnum):
+    """Whether an upstream is trusted with requests."""
+
+    HEALTHY = "healthy"
+    EJECTED = "ejected"
+    # Gets single requests, which decide.
+    RECOVERING = "recovering"
+
+
+class Breaker:
+    """State of one upstream; a policy decides on it after each attempt."""
+
+    def __init__(self, settings: RoutingSettings):
+        self.settings = settings
+        self.state = BreakerState.HEALTHY
+        self.ejected_at = 0.0
+        self.ejections = 0
+        # Failures in a row while healthy.
+        self.failures = 0
+        # Results while recovering, and the recent ones with their times.
+        self.results: list[bool] = []
+        self.window: deque[tuple[float, bool]] = deque()
+        # Requests in flight that test a recovering upstream.
+        self.probes = 0
+        self._wait = settings.ejection_base
+        self._return_at = 0.0
+        self._healthy_since = 0.0
+
+    def refresh(self, now: float) -> BreakerState:
+        """Return the state, which turns to recovering once the time is over."""
+        if self.state is BreakerState.EJECTED and now >= self._return_at:
+            self.state = BreakerState.RECOVERING
+            self.results.clear()
+        return self.state
+
+    def eject(self, now: float) -> None:
+        """Eject for a time that doubles with each ejection that follows soon."""
+        if now - self._healthy_since > 2 * self._wait:
+            self._wait = self.settings.ejection_base
+        self.state = BreakerState.EJECTED
+        self.ejected_at = now
+        self.ejections += 1
+        self._return_at = now + self._wait
+        self._wait = min(2 * self._wait, self.settings.ejection_cap)
+        self._reset()
+
+    def admit(self, now: float) -> None:
+        """End an ejection."""
+        self.state = BreakerState.HEALTHY
+        self._healthy_since = now
+        self._reset()
+
+    def _reset(self) -> None:
+        self.failures = 0
+        self.results.clear()
+        self.window.clear()
+
+
+BreakerPolicy = Callable[[Breaker, bool, float], None]
+
+
+def note_nothing(breaker: Breaker, is_good: bool, now: float) -> None:
+    """Never eject."""
+
+
+def note_consecutive(breaker: Breaker, is_good: bool, now: float) -> None:
+    """Eject after some failures in a row; one success ends it."""
+    if is_good:
+        breaker.failures = 0
+        if breaker.state is BreakerState.RECOVERING:
+            breaker.admit(now)
+        return
+    breaker.failures += 1
+    if breaker.state is BreakerState.RECOVERING:
+        breaker.eject(now)
+        return
+    is_enough = breaker.failures >= breaker.settings.breaker_failures
+    if is_enough and breaker.state is BreakerState.HEALTHY:
+        breaker.eject(now)
+
+
+def note_states(breaker: Breaker, is_good: bool, now: float) -> None:
+    """Eject by the share of failures; a higher share of successes ends it."""
+    settings = breaker.settings
+    if breaker.state is BreakerState.RECOVERING:
+        breaker.results.append(is_good)
+        _judge_recovery(breaker, now)
+    elif breaker.state is BreakerState.HEALTHY:
+        breaker.window.append((now, is_good))
+        while now - breaker.window[0][0] > settings.breaker_window:
+            breaker.window.popleft()
+        failed = sum(not each for _, each in breaker.window)
+        is_enough = len(breaker.window) >= settings.breaker_samples
+        if is_enough and failed > settings.breaker_share * len(breaker.window):
+            breaker.eject(now)
+
+
+def _judge_recovery(breaker: Breaker, now: float) -> None:
+    settings = breaker.settings
+    wanted = settings.recovering_samples
+    failed = breaker.results.count(False)
+    if failed > (1 - settings.recovering_share) * wanted:
+        breaker.eject(now)
+    elif len(breaker.results) >= wanted:
+        breaker.admit(now)
+
+
+BREAKERS: dict[str, BreakerPolicy] = {
+    "none": note_nothing,
+    "consecutive": note_consecutive,
+    "states": note_states,
+}
+
+
+def limit_ejected(
+    breakers: Sequence[Breaker], now: float, largest_share: float
+) -> set[Breaker]:
+    """Return the breakers whose upstreams get nothing, or only probes.
+
+    Those ejected last count as healthy where more than the share are, so at
+    least one of several can be ejected and never all.
+    """
+    bad = [each for each in breakers if each.refresh(now) is not BreakerState.HEALTHY]
+    largest = min(max(1, int(largest_share * len(breakers))), len(breakers) - 1)
+    if len(bad) > largest:
+        bad.sort(key=lambda breaker: breaker.ejected_at)
+        del bad[largest:]
+    return set(bad)
--- /dev/null
+++ b/src/pepperstep/routing/dispatch.py
@@ -0,0 +1,271 @@
+"""Starts waiting attempts as places become free."""
+
+from collections import Counter
+from collections.abc import Callable
+
+from pepperstep.entities import Priority, Request
+from pepperstep.errors import Code, Failure
+from pepperstep.ports import Timers
+from pepperstep.routing.admission import Room
+from pepperstep.routing.breakers import Breaker, BreakerState, limit_ejected
+from pepperstep.routing.feedback import Feedback
+from pepperstep.routing.limits import AdaptiveLimit, LatencySample
+from pepperstep.routing.placement import Placement
+from pepperstep.routing.pools import Pool, Pools
+from pepperstep.routing.prediction import CHOICES, Choice, ChoiceContext
+from pepperstep.routing.queue import Waiter
+from pepperstep.routing.settings import RoutingSettings
+from pepperstep.routing.terms import Terms
+from pepperstep.routing.tracked import TrackedUpstream
+
+__all__ = ["Dispatcher"]
+
+
+class Dispatcher:
+    """Places of this host on all upstreams, and the attempts that wait."""
+
+    def __init__(
+        self,
+        pools: Pools,
+        timers: Timers,
+        terms: Terms,
+        context: ChoiceContext,
+        feedback: Feedback,
+        note_placed: Callable[[Placement, Choice], None],
+        note_released: Callable[[Placement], None],
+    ):
+        self._pools = pools
+        self._timers = timers
+        self._terms = terms
+        self._context = context
+        self._settings: RoutingSettings = context.settings
+        self._choose = CHOICES[self._settings.choice]
+        self._feedback = feedback
+        self._note_placed = note_placed
+        self._note_released = note_released
+        self._host_limit = AdaptiveLimit.from_host(self._settings)
+        self._in_flight: Counter[str] = Counter()
+        self._waiting: Counter[str] = Counter()
+        # The one of the waiting that looks for changes each period.
+        self._poller: Waiter | None = None
+
+    @property
+    def in_flight(self) -> int:
+        """Attempts in flight at this host."""
+        return self._in_flight.total()
+
+    @property
+    def host_limit(self) -> float:
+        """Attempts that may be in flight at this host."""
+        return self._host_limit.value
+
+    def note_host_delay(self, delay: float, now: float) -> None:
+        """Adapt the host's limit to how late its timers are, in seconds."""
+        is_limited = self.in_flight >= 0.8 * self._host_limit.value
+        sample = LatencySample(delay, 0.0, self._settings.host_delay, is_limited)
+        self._host_limit.note(sample, 1.0, now)
+
+    def room_for(self, request: Request, pool: Pool, now: float) -> Room:
+        """Return the room that a new request finds."""
+        waiting = self._waiting[request.workspace]
+        is_first = pool.queue.is_empty_for(request)
+        if not is_first or not self._is_below_limits(request):
+            return Room(0.0, waiting)
+        share = pool.share_of(request.priority, now, self._settings)
+        free = sum(
+            max(0.0, each.limit.value * share - each.total, float(each.in_flight == 0))
+            for each in pool.members
+        )
+        return Room(free, waiting)
+
+    async def wait(self, waiter: Waiter, pool: Pool) -> Placement:
+        """Return the waiter's placement; raise its failure if it gets none."""
+        self._add(waiter, pool)
+        try:
+            while not waiter.is_over:
+                await self._wait_change(waiter)
+        except BaseException:
+            self._abandon(waiter, pool)
+            raise
+        if waiter.failure is not None:
+            raise waiter.failure
+        return waiter.result
+
+    def start_waiters(self) -> None:
+        """Start all that can start in any pool, and answer those too late."""
+        now = self._timers.now()
+        for pool in self._pools:
+            if len(pool.queue):
+                self._answer_late(pool)
+                self._start(pool, now)
+
+    def _add(self, waiter: Waiter, pool: Pool) -> None:
+        pool.queue.push(waiter)
+        self._waiting[waiter.work.request.workspace] += 1
+        self._start(pool, self._timers.now())
+
+    async def _wait_change(self, waiter: Waiter) -> None:
+        if self._poller is None:
+            self._poller = waiter
+        if self._poller is not waiter:
+            await waiter.changed.wait()
+            return
+        try:
+            with self._timers.move_on_after(self._settings.poll_period):
+                await waiter.changed.wait()
+        finally:
+            if waiter.is_over:
+                self._pass_polling_on()
+        if not waiter.is_over:
+            self._pools.sync(self._timers.now())
+            self.start_waiters()
+            if waiter.is_over:
+                self._pass_polling_on()
+
+    def _pass_polling_on(self) -> None:
+        """Let another of the waiting look for changes."""
+        self._poller = None
+        for pool in self._pools:
+            for waiter in pool.queue.heads():
+                waiter.wake()
+                return
+
+    def _abandon(self, waiter: Waiter, pool: Pool) -> None:
+        if waiter.result is not None:
+            self._release(waiter.result)
+        elif waiter.failure is None:
+            pool.queue.remove(waiter)
+            self._waiting[waiter.work.request.workspace] -= 1
+        if self._poller is waiter:
+            self._pass_polling_on()
+
+    def _answer_late(self, pool: Pool) -> None:
+        for waiter in pool.queue.take_late(self._timers.wall()):
+            request = waiter.work.request
+            self._waiting[request.workspace] -= 1
+            waiter.failure = Failure(
+                Code.DEADLINE_EXPIRED,
+                "The answer can't be whole by the deadline any more.",
+                execution=waiter.execution,
+            )
+            waiter.wake()
+
+    def _start(self, pool: Pool, now: float) -> None:
+        while self.in_flight < self._host_limit.value and self._start_one(pool, now):
+            pass
+
+    def _start_one(self, pool: Pool, now: float) -> bool:
+        ejected = self._ejected(pool, now)
+        usable: dict[Priority, list[TrackedUpstream]] = {}
+        for waiter in pool.queue.heads():
+            request = waiter.work.request
+            if not self._is_below_limits(request):
+                continue
+            if request.priority not in usable:
+                usable[request.priority] = self._usable(pool, request, now)
+            choice = self._choose_for(waiter, pool, usable[request.priority], ejected)
+            if choice is not None:
+                self._place(waiter, pool, choice)
+                return True
+        return False
+
+    def _is_below_limits(self, request: Request) -> bool:
+        workspace = request.workspace
+        if self.in_flight >= self._host_limit.value:
+            return False
+        return self._in_flight[workspace] < self._terms.max_in_flight_of(workspace)
+
+    def _usable(self, pool: Pool, request: Request, now: float):
+        share = pool.share_of(request.priority, now, self._settings)
+        return [each for each in pool.members if each.has_room(share)]
+
+    def _ejected(self, pool: Pool, now: float) -> set[Breaker]:
+        breakers = [each.breaker for each in pool.members]
+        if all(each.state is BreakerState.HEALTHY for each in breakers):
+            return set()
+        return limit_ejected(breakers, now, self._settings.max_ejected_share)
+
+    def _choose_for(
+        self,
+        waiter: Waiter,
+        pool: Pool,
+        usable: list[TrackedUpstream],
+        ejected: set[Breaker],
+    ) -> Choice | None:
+        if not usable:
+            return None
+        now = self._timers.now()
+        if ejected:
+            probe = self._find_probe(waiter, usable, ejected)
+            if probe is not None:
+                return Choice(probe, "probe of an ejected upstream")
+        allowed = self._narrow(waiter, pool, usable, ejected)
+        if not allowed:
+            return None
+        return self._choose(allowed, waiter.work, self._context, now)
+
+    def _find_probe(
+        self, waiter: Waiter, usable: list[TrackedUpstream], ejected: set[Breaker]
+    ) -> TrackedUpstream | None:
+        """Return an upstream that a request may test; later attempts don't."""
+        if waiter.attempt > 1 or not waiter.work.request.is_repeatable:
+            return None
+        for tracked in usable:
+            breaker = tracked.breaker
+            if breaker not in ejected or breaker.state is not BreakerState.RECOVERING:
+                continue
+            if breaker.probes < self._settings.recovering_in_flight:
+                return tracked
+        return None
+
+    def _narrow(
+        self,
+        waiter: Waiter,
+        pool: Pool,
+        usable: list[TrackedUpstream],
+        ejected: set[Breaker],
+    ) -> list[TrackedUpstream]:
+        """Leave out the ejected, and the excluded unless there is no other."""
+        if ejected:
+            usable = [each for each in usable if each.breaker not in ejected]
+        excluded = waiter.excluded
+        if not excluded:
+            return usable
+        if any(
+            each.upstream.name not in excluded and each.breaker not in ejected
+            for each in pool.members
+        ):
+            return [each for each in usable if each.upstream.name not in excluded]
+        return usable
+
+    def _place(self, waiter: Waiter, pool: Pool, choice: Choice) -> None:
+        pool.queue.pop(waiter)
+        tracked = choice.chosen
+        placement = Placement(
+            tracked, pool, waiter, self._feedback, self._timers, self._release
+        )
+        request = waiter.work.request
+        self._note_placed(placement, choice)
+        tracked.note_started(round(placement.uncached_tokens), placement.started_at)
+        if tracked.breaker.state is BreakerState.RECOVERING:
+            tracked.breaker.probes += 1
+            placement.is_probe = True
+        pool.in_flight += 1
+        self._waiting[request.workspace] -= 1
+        self._in_flight[request.workspace] += 1
+        waiter.result = placement
+        waiter.wake()
+
+    def _release(self, placement: Placement) -> None:
+        now = self._timers.now()
+        waiter = placement.waiter
+        workspace = waiter.work.request.workspace
+        placement.end(now)
+        placement.pool.in_flight -= 1
+        self._in_flight[workspace] -= 1
+        if not self._in_flight[workspace]:
+            del self._in_flight[workspace]
+        held = now - placement.started_at
+        placement.pool.queue.correct(waiter, held - waiter.cost)
+        self._note_released(placement)
+        self.start_waiters()
--- /dev/null
+++ b/src/pepperstep/routing/pools.py
@@ -0,0 +1,168 @@
+"""Upstreams by what they serve, kept up to date with this host's view."""
+
+from collections.abc import Callable, Hashable, Iterable
+from typing import Protocol
+
+from pepperstep.entities import Priority, Upstream
+from pepperstep.routing.averages import Average
+from pepperstep.routing.queue import FairQueue
+from pepperstep.routing.settings import RoutingSettings
+from pepperstep.routing.terms import Terms
+from pepperstep.routing.tracked import TrackedUpstream
+from pepperstep.routing.work import pool_keys
+
+__all__ = ["Pool", "Pools", "UpstreamView"]
+
+# A view with versions is looked at no more often than this.
+_SYNC_SECONDS = 0.02
+_TOKENS_PER_CHARACTER = 0.25
+
+
+class UpstreamView(Protocol):
+    """Upstreams that live and take new work, as this host knows them.
+
+    A view may have a `version` that changes whenever the candidates or their
+    load do; without it they are asked for at each choice.
+    """
+
+    def candidates(self) -> Iterable[Upstream]:
+        """Return the upstreams with a lease that aren't leaving."""
+
+
+class Pool:
+    """All upstreams that serve one model key or service, and its queue."""
+
+    def __init__(self, key: Hashable, queue: FairQueue):
+        self.key = key
+        self.queue = queue
+        self.members: list[TrackedUpstream] = []
+        # Attempts of this host in flight for requests of the pool.
+        self.in_flight = 0
+        # Seconds that an attempt holds its place, by class, and for all.
+        self.holds = {priority: Average() for priority in Priority}
+        self.hold = Average()
+        # Seconds from dispatch to the first token.
+        self.first_token = Average()
+        # Tokens generated as a share of the most that were asked for, by class.
+        self.answer_shares = {
+            priority: Average(0.05, initial=0.5) for priority in Priority
+        }
+        self.tokens_per_character = Average(0.05, initial=_TOKENS_PER_CHARACTER)
+        # When each class was last asked for.
+        self.asked_at = dict.fromkeys(Priority, float("-inf"))
+        self._typical = (float("-inf"), 0.0, 0.0)
+
+    @property
+    def decode_seconds(self) -> float:
+        """Seconds for a token, as the upstreams report it."""
+        loads = [each.upstream.load.decode_seconds for each in self.members]
+        return min(loads, default=0.02)
+
+    def share_of(self, priority: Priority, now: float, settings) -> float:
+        """Return the share of places that a class may take now."""
+        is_above_used = any(
+            now - self.asked_at[above] < settings.class_seconds
+            for above in Priority
+            if above < priority
+        )
+        share = settings.class_shares[priority]
+        return share if is_above_used else max(1.0, share)
+
+    def typical(self, now: float) -> tuple[float, float]:
+        """Return the lower quartiles of the members' overheads and gaps."""
+        computed_at, overhead, gap = self._typical
+        if now - computed_at > 0.5:
+            overhead = _lower_quartile(each.overhead for each in self.members)
+            gap = _lower_quartile(each.gap for each in self.members)
+            self._typical = (now, overhead, gap)
+        return overhead, gap
+
+
+class Pools:
+    """All pools of this host."""
+
+    def __init__(
+        self,
+        view: UpstreamView,
+        settings: RoutingSettings,
+        terms: Terms,
+        new_queue: Callable[[], FairQueue],
+        forget: Callable[[str], None],
+    ):
+        self._view = view
+        self._settings = settings
+        self._terms = terms
+        self._new_queue = new_queue
+        self._forget = forget
+        self._pools: dict[Hashable, Pool] = {}
+        self._tracked: dict[str, TrackedUpstream] = {}
+        self._version: object = None
+        self._synced_at = float("-inf")
+
+    def __iter__(self):
+        return iter(list(self._pools.values()))
+
+    @property
+    def upstreams(self) -> list[TrackedUpstream]:
+        """All upstreams in the view."""
+        return list(self._tracked.values())
+
+    def get(self, key: Hashable, now: float) -> Pool:
+        """Return the pool of a key, brought up to date."""
+        self.sync(now)
+        pool = self._pools.get(key)
+        if pool is None:
+            pool = self._pools[key] = Pool(key, self._new_queue())
+        return pool
+
+    def find(self, name: str, epoch: int) -> TrackedUpstream | None:
+        """Return an upstream if this start of it is in the view."""
+        tracked = self._tracked.get(name)
+        if tracked is None or tracked.upstream.epoch != epoch:
+            return None
+        return tracked
+
+    def sync(self, now: float) -> None:
+        """Bring all pools up to date."""
+        version = getattr(self._view, "version", None)
+        is_same = version is not None and version == self._version
+        is_recent = version is not None and now - self._synced_at < _SYNC_SECONDS
+        if is_same or is_recent:
+            return
+        self._version = version
+        self._synced_at = now
+        self._track(self._view.candidates(), now)
+
+    def _track(self, candidates: Iterable[Upstream], now: float) -> None:
+        before = self._tracked
+        sharers = self._terms.sharers
+        self._tracked = {}
+        members: dict[Hashable, list[TrackedUpstream]] = {}
+        for upstream in candidates:
+            tracked = self._update(before.get(upstream.name), upstream, now)
+            tracked.sharers = sharers
+            self._tracked[upstream.name] = tracked
+            for key in pool_keys(upstream):
+                members.setdefault(key, []).append(tracked)
+        for name in before.keys() - self._tracked.keys():
+            self._forget(name)
+        for key in members.keys() - self._pools.keys():
+            self._pools[key] = Pool(key, self._new_queue())
+        for key, pool in self._pools.items():
+            pool.members = members.get(key, [])
+
+    def _update(
+        self, tracked: TrackedUpstream | None, upstream: Upstream, now: float
+    ) -> TrackedUpstream:
+        if tracked is None:
+            return TrackedUpstream(upstream, self._settings, now)
+        if tracked.upstream.epoch != upstream.epoch:
+            self._forget(upstream.name)
+            return TrackedUpstream(upstream, self._settings, now)
+        tracked.update(upstream, now)
+        return tracked
+
+
+def _lower_quartile(averages: Iterable[Average]) -> float:
+    values = sorted(each.value for each in averages if each.count)
+    return values[len(values) // 4] if values else 0.0
--- /dev/null
+++ b/src/pepperstep/routing/prediction.py
@@ -0,0 +1,176 @@
+"""Predicts the time to the first token on each candidate."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+
+from pepperstep.entities import Role
+from pepperstep.routing.prefixes import PrefixIndex
+from pepperstep.routing.settings import RoutingSettings
+from pepperstep.routing.tracked import TrackedUpstream
+from pepperstep.routing.work import Work
+
+__all__ = ["CHOICES", "Choice", "ChoiceContext", "Chooser", "Prediction"]
+
+_FIRST_HOLD = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Prediction:
+    """Parts of the predicted time to the first token, in seconds."""
+
+    upstream: str
+    # Attempts believed to be there.
+    total: int
+    cached_tokens: float
+    wait: float
+    prefill: float
+    distance: float
+    history: float
+    role: float
+
+    @property
+    def seconds(self) -> float:
+        """The whole time."""
+        return self.wait + self.prefill + self.distance + self.history + self.role
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The chosen upstream and why."""
+
+    chosen: TrackedUpstream
+    reason: str
+    considered: tuple[Prediction, ...] = ()
+
+
+@dataclass(slots=True)
+class ChoiceContext:
+    """What all choices of a host share."""
+
+    settings: RoutingSettings
+    rng: Random
+    prefixes: PrefixIndex
+    zone: str = ""
+    region: str = ""
+    turns: count = field(default_factory=count)
+
+
+Chooser = Callable[[Sequence[TrackedUpstream], Work, ChoiceContext, float], Choice]
+
+
+def choose_predicted(
+    usable: Sequence[TrackedUpstream], work: Work, context: ChoiceContext, now: float
+) -> Choice:
+    """Choose the least predicted time among a few and the prefix's best.
+
+    Few, since the reports are late: all hosts that look at all upstreams would
+    choose the same one until the next report.
+    """
+    number = min(context.settings.choices, len(usable))
+    drawn = context.rng.sample(usable, number)
+    holders = context.prefixes.find_holders(work.hashes)
+    if holders:
+        names = {tracked.upstream.name for tracked in drawn}
+        drawn += [
+            tracked
+            for tracked in usable
+            if tracked.upstream.name in holders and tracked.upstream.name not in names
+        ]
+    predictions = [predict(tracked, work, context, now) for tracked in drawn]
+    best = min(range(len(drawn)), key=lambda index: predictions[index].seconds)
+    return Choice(drawn[best], "least predicted time", tuple(predictions))
+
+
+def choose_least_in_flight(
+    usable: Sequence[TrackedUpstream], work: Work, context: ChoiceContext, now: float
+) -> Choice:
+    """Choose the upstream with the least in flight from this host."""
+    return Choice(min(usable, key=lambda each: each.in_flight), "least in flight")
+
+
+def choose_round_robin(
+    usable: Sequence[TrackedUpstream], work: Work, context: ChoiceContext, now: float
+) -> Choice:
+    """Choose one upstream after the other."""
+    return Choice(usable[next(context.turns) % len(usable)], "round robin")
+
+
+def choose_random(
+    usable: Sequence[TrackedUpstream], work: Work, context: ChoiceContext, now: float
+) -> Choice:
+    """Choose any upstream."""
+    return Choice(context.rng.choice(usable), "random")
+
+
+CHOICES: dict[str, Chooser] = {
+    "predicted": choose_predicted,
+    "least_in_flight": choose_least_in_flight,
+    "round_robin": choose_round_robin,
+    "random": choose_random,
+}
+
+
+def predict(
+    tracked: TrackedUpstream, work: Work, context: ChoiceContext, now: float
+) -> Prediction:
+    """Return the predicted time to the first token on one upstream."""
+    settings = context.settings
+    upstream = tracked.upstream
+    cached = 0.0
+    if work.hashes:
+        blocks = context.prefixes.cached_blocks(upstream.name, work.hashes, now)
+        cached = min(blocks * work.block_tokens, work.prompt_tokens)
+    uncached = work.tokens - cached
+    failures = tracked.failures.at(now) * settings.failure_seconds
+    return Prediction(
+        upstream=upstream.name,
+        total=tracked.total,
+        cached_tokens=cached,
+        wait=_predict_wait(tracked, work, settings),
+        prefill=uncached * upstream.load.prefill_seconds,
+        distance=_distance(tracked, context),
+        history=tracked.excess.at(now) + failures,
+        role=_role_penalty(tracked, work, uncached, settings),
+    )
+
+
+def _predict_wait(
+    tracked: TrackedUpstream, work: Work, settings: RoutingSettings
+) -> float:
+    """Return the time until a place is free and the batch takes the request in."""
+    load = tracked.upstream.load
+    slots = max(1, tracked.upstream.slots)
+    total = tracked.total
+    hold = tracked.hold.value if tracked.hold.count else _FIRST_HOLD
+    if not work.is_engine_work:
+        return (total + 1) * hold / slots
+    # The fuller the batch, the longer its present step and its prefills.
+    wait = load.decode_seconds * total / slots
+    wait += tracked.pending_tokens * load.prefill_seconds * settings.prefill_sharing
+    if total >= slots:
+        wait += (total - slots + 1) * hold / slots
+    return wait
+
+
+def _distance(tracked: TrackedUpstream, context: ChoiceContext) -> float:
+    upstream = tracked.upstream
+    if not context.zone or upstream.zone == context.zone:
+        return 0.0
+    if upstream.region and context.region and upstream.region != context.region:
+        return context.settings.region_seconds
+    return context.settings.zone_seconds
+
+
+def _role_penalty(
+    tracked: TrackedUpstream, work: Work, uncached: float, settings: RoutingSettings
+) -> float:
+    role = tracked.upstream.role
+    if role is Role.MIXED:
+        return 0.0
+    load = tracked.upstream.load
+    prefill = uncached * load.prefill_seconds
+    decode = work.answer_tokens * load.decode_seconds
+    wanted = Role.PREFILL if prefill > decode else Role.DECODE
+    return 0.0 if role is wanted else settings.role_seconds
--- /dev/null
+++ b/src/pepperstep/routing/queue.py
@@ -0,0 +1,214 @@
+"""Accepted requests that wait for a place, in a fair order."""
+
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from pepperstep.entities import Priority, Request
+from pepperstep.errors import Execution, Failure
+from pepperstep.routing.retries import RetryCause
+from pepperstep.routing.work import Work
+
+__all__ = ["ORDERS", "FairQueue", "Order", "Waiter"]
+
+
+@dataclass(eq=False, slots=True)
+class Waiter:
+    """A request's attempt that waits; it ends with a placement or a failure."""
+
+    work: Work
+    excluded: frozenset[str]
+    # Seconds that it is expected to hold a place.
+    cost: float
+    # Unix time after which it surely can't be answered within its deadline.
+    latest_start: float
+    queued_at: float
+    attempt: int = 1
+    cause: RetryCause | None = None
+    # What a failure says about earlier attempts.
+    execution: Execution = Execution.NOT_RUN
+    result: Any = None
+    failure: Failure | None = None
+    changed: trio.Event = field(default_factory=trio.Event)
+
+    @property
+    def is_over(self) -> bool:
+        """Whether it needs to wait no longer."""
+        return self.result is not None or self.failure is not None
+
+    def wake(self) -> None:
+        """Let it look whether it's over, or whether it is to poll."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+
+Order = Callable[[Request], tuple[Priority, str]]
+
+
+def order_fairly(request: Request) -> tuple[Priority, str]:
+    """Order by class, and fairly among workspaces."""
+    return request.priority, request.workspace
+
+
+def order_by_arrival(request: Request) -> tuple[Priority, str]:
+    """Order all by their arrival."""
+    return Priority.STANDARD, ""
+
+
+ORDERS: dict[str, Order] = {"fair": order_fairly, "fifo": order_by_arrival}
+
+
+class _Lane:
+    """Waiters of one class, by workspace, with a virtual clock."""
+
+    def __init__(self):
+        self.waiters: dict[str, deque[Waiter]] = {}
+        # Virtual start of each workspace's next waiter.
+        self.starts: dict[str, float] = {}
+        self.clock = 0.0
+        # Starts that higher classes owe this one.
+        self.credit = 0.0
+
+    def push(self, workspace: str, waiter: Waiter) -> None:
+        waiters = self.waiters.setdefault(workspace, deque())
+        if not waiters:
+            self.starts[workspace] = max(self.starts.get(workspace, 0.0), self.clock)
+        # Later attempts have waited before.
+        if waiter.attempt > 1:
+            waiters.appendleft(waiter)
+        else:
+            waiters.append(waiter)
+
+    def pop(self, workspace: str, charge: float) -> None:
+        waiters = self.waiters[workspace]
+        waiters.popleft()
+        start = self.starts[workspace]
+        self.clock = max(self.clock, start)
+        self.starts[workspace] = start + charge
+        if not waiters:
+            del self.waiters[workspace]
+            self._prune()
+
+    def _prune(self) -> None:
+        if len(self.starts) <= 2 * len(self.waiters) + 64:
+            return
+        self.starts = {
+            workspace: start
+            for workspace, start in self.starts.items()
+            if workspace in self.waiters or start > self.clock
+        }
+
+
+class FairQueue:
+    """Waiters in start-time fair order over workspaces, within classes.
+
+    A higher class goes first, but for a small share of the starts that the
+    classes below it get while they wait.
+    """
+
+    def __init__(
+        self, order: Order, weight_of: Callable[[str], float], lower_share: float
+    ):
+        self._order = order
+        self._weight_of = weight_of
+        self._lower_share = lower_share
+        self._lanes = {priority: _Lane() for priority in Priority}
+
+    def __len__(self) -> int:
+        return sum(self._count(priority) for priority in Priority)
+
+    def is_empty_for(self, request: Request) -> bool:
+        """Whether nothing waits that would start before the request."""
+        priority, _ = self._order(request)
+        return not any(
+            self._lanes[each].waiters for each in Priority if each <= priority
+        )
+
+    def work_ahead(
+        self, request: Request, hold_of: Callable[[Priority], float]
+    ) -> float:
+        """Return the seconds of places held until the request would start."""
+        priority, workspace = self._order(request)
+        above = sum(
+            self._count(each) * hold_of(each) for each in Priority if each < priority
+        )
+        lane = self._lanes[priority]
+        weights = sum(map(self._weight_of, {*lane.waiters, workspace}))
+        share = self._weight_of(workspace) / weights
+        own = len(lane.waiters.get(workspace, ())) + 1
+        ahead = min(own / share, self._count(priority) + 1)
+        return above + ahead * hold_of(priority)
+
+    def push(self, waiter: Waiter) -> None:
+        """Add a waiter."""
+        priority, workspace = self._order(waiter.work.request)
+        self._lanes[priority].push(workspace, waiter)
+
+    def remove(self, waiter: Waiter) -> None:
+        """Remove a waiter that isn't to be started."""
+        priority, workspace = self._order(waiter.work.request)
+        lane = self._lanes[priority]
+        waiters = lane.waiters.get(workspace, deque())
+        if waiter in waiters:
+            waiters.remove(waiter)
+        if not waiters:
+            lane.waiters.pop(workspace, None)
+
+    def pop(self, waiter: Waiter) -> None:
+        """Take out a waiter that `heads` has yielded, as it starts."""
+        priority, workspace = self._order(waiter.work.request)
+        weight = self._weight_of(workspace)
+        self._lanes[priority].pop(workspace, waiter.cost / weight)
+        self._move_credit(priority)
+
+    def correct(self, waiter: Waiter, seconds: float) -> None:
+        """Charge a started waiter's workspace what it held beyond its cost."""
+        priority, workspace = self._order(waiter.work.request)
+        starts = self._lanes[priority].starts
+        if workspace in starts:
+            starts[workspace] += seconds / self._weight_of(workspace)
+
+    def heads(self) -> Iterator[Waiter]:
+        """Yield the first waiter of each workspace in the order to start them."""
+        for priority in self._ordered_classes():
+            lane = self._lanes[priority]
+            for workspace in sorted(lane.waiters, key=lane.starts.__getitem__):
+                yield lane.waiters[workspace][0]
+
+    def take_late(self, now: float) -> list[Waiter]:
+        """Remove and return those whose latest start (Unix time) has passed."""
+        late = [
+            waiter
+            for waiters in self._all_waiters()
+            for waiter in waiters
+            if waiter.latest_start < now
+        ]
+        for waiter in late:
+            self.remove(waiter)
+        return late
+
+    def _count(self, priority: Priority) -> int:
+        return sum(map(len, self._lanes[priority].waiters.values()))
+
+    def _all_waiters(self) -> Iterator[deque[Waiter]]:
+        for lane in self._lanes.values():
+            yield from lane.waiters.values()
+
+    def _ordered_classes(self) -> list[Priority]:
+        def rank(priority: Priority) -> tuple[bool, Priority]:
+            return self._lanes[priority].credit < 1.0, priority
+
+        waiting = [each for each in Priority if self._lanes[each].waiters]
+        return sorted(waiting, key=rank)
+
+    def _move_credit(self, started: Priority) -> None:
+        """Pay for a start, and credit the classes below that wait."""
+        lane = self._lanes[started]
+        lane.credit = max(0.0, lane.credit - 1.0)
+        for priority in Priority:
+            below = self._lanes[priority]
+            if priority > started and below.waiters:
+                below.credit = min(1.0, below.credit + self._lower_share)
--- a/src/pepperstep/routing/router.py
+++ b/src/pepperstep/routing/router.py
@@ -1,95 +1,278 @@
-"""Places each attempt on an upstream."""
+"""Places each attempt on an upstream, and refuses what can't be served in time."""
 
-from collections import Counter
-from collections.abc import Iterable
-from typing import Protocol
+import random
+from collections import OrderedDict
+from collections.abc import Callable
 
-from pepperstep.entities import Request, RequestKind, Upstream
-from pepperstep.errors import Code, Failure
-from pepperstep.ports import EndMark, Timers
+import trio
 
-__all__ = ["Placement", "Router", "UpstreamView"]
+from pepperstep.configuration import Configuration
+from pepperstep.entities import Request
+from pepperstep.errors import Code, Execution, Failure
+from pepperstep.ports import Timers
+from pepperstep.routing.admission import Admission, check_served, latest_start
+from pepperstep.routing.dispatch import Dispatcher
+from pepperstep.routing.explanations import Explanation, Explanations
+from pepperstep.routing.feedback import Feedback
+from pepperstep.routing.placement import Ending, Placement
+from pepperstep.routing.pools import Pool, Pools, UpstreamView
+from pepperstep.routing.prediction import Choice, ChoiceContext, Prediction
+from pepperstep.routing.prefixes import (
+    BLOCK_BYTES,
+    CacheEvent,
+    PrefixIndex,
+    hash_blocks,
+)
+from pepperstep.routing.queue import ORDERS, FairQueue, Waiter
+from pepperstep.routing.retries import RetryBudget, RetryCause, draw_pause
+from pepperstep.routing.settings import RoutingSettings
+from pepperstep.routing.status import RoutingStatus, UpstreamStatus
+from pepperstep.routing.terms import Terms
+from pepperstep.routing.work import Work, pool_key
 
-_POLL_SECONDS = 0.05
+__all__ = ["Router"]
 
+_DELAY_PERIOD = 0.1
+_ENDINGS = 10_000
 
-class UpstreamView(Protocol):
-    """Upstreams that live and take new work, as this host knows them."""
-
-    def candidates(self) -> Iterable[Upstream]:
-        """Return the upstreams with a lease that aren't leaving."""
 
+class Router:
+    """All decisions of this host on where and when attempts run."""
 
-class Placement:
-    """One attempt's place on an upstream, given back at the end of its block."""
+    def __init__(
+        self,
+        view: UpstreamView,
+        timers: Timers,
+        *,
+        settings: RoutingSettings | None = None,
+        rng: random.Random | None = None,
+        configuration: Callable[[], Configuration] = Configuration,
+        zone: str = "",
+        region: str = "",
+        host_count: Callable[[], int] = lambda: 1,
+    ):
+        settings = settings or RoutingSettings()
+        self._settings = settings
+        self._timers = timers
+        self._rng = rng or random.Random(0)
+        self._terms = Terms(configuration, host_count)
+        self._prefixes = PrefixIndex(
+            settings.belief_half_life, settings.cache_blocks, settings.event_lag
+        )
+        self._admission = Admission(settings, self._terms, self._rng)
+        self._retries = RetryBudget(settings)
+        self._explanations = Explanations(settings.explanations)
+        # How the last attempt failed, of requests that may get another.
+        self._endings: OrderedDict[str, Ending] = OrderedDict()
+        self._pools = Pools(
+            view, settings, self._terms, self._new_queue, self._prefixes.forget
+        )
+        self._dispatcher = Dispatcher(
+            self._pools,
+            timers,
+            self._terms,
+            ChoiceContext(settings, self._rng, self._prefixes, zone, region),
+            Feedback(settings, self._prefixes),
+            self._note_placed,
+            self._note_released,
+        )
 
-    def __init__(self, upstream: Upstream, router: "Router"):
-        self.upstream = upstream
-        self._router = router
+    @property
+    def status(self) -> RoutingStatus:
+        """The state of the queues, limits and upstreams now."""
+        self._pools.sync(self._timers.now())
+        return RoutingStatus(
+            in_flight=self._dispatcher.in_flight,
+            host_limit=self._dispatcher.host_limit,
+            waiting=sum(len(pool.queue) for pool in self._pools),
+            upstreams=[UpstreamStatus.from_tracked(t) for t in self._pools.upstreams],
+        )
 
-    def __enter__(self) -> "Placement":
-        return self
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Adapt the host's limit until cancelled."""
+        task_status.started()
+        while True:
+            due = self._timers.now() + _DELAY_PERIOD
+            await self._timers.sleep(_DELAY_PERIOD)
+            now = self._timers.now()
+            self._dispatcher.note_host_delay(now - due, now)
 
-    def __exit__(self, *exc_info) -> None:
-        self._router.release(self)
+    def check(self, request: Request) -> None:
+        """Let a request be accepted, or raise `Failure`; it has not run then.
 
-    def note_tokens(self, count: int) -> None:
-        """Note that tokens arrived."""
+        `NO_UPSTREAM` if nothing serves it, `QUEUE_FULL` if too many of its
+        workspace wait, `OVERLOADED` if it would surely be late.
+        """
+        now = self._timers.now()
+        pool = self._pools.get(pool_key(request), now)
+        check_served(request, pool)
+        pool.asked_at[request.priority] = now
+        room = self._dispatcher.room_for(request, pool, now)
+        remaining = request.deadline - self._timers.wall()
+        self._admission.admit(request, pool, room, remaining, now)
 
-    def note_answered(self, mark: EndMark) -> None:
-        """Note that the answer is whole."""
+    async def acquire(
+        self,
+        request: Request,
+        prefix_tokens: int,
+        excluded: frozenset[str],
+        *,
+        attempt: int = 1,
+        cause: RetryCause | None = None,
+        execution: Execution | None = None,
+    ) -> Placement:
+        """Return a place, as soon as it's the request's turn and there is room.
 
-    def note_refused(self, retry_after: float | None) -> None:
-        """Note that the upstream refused the attempt, which didn't run."""
+        `prefix_tokens` were generated by earlier attempts; upstreams named in
+        `excluded` are taken only if there is no other. `attempt` counts from 1;
+        the cause of a later one is told from how the last one ended unless it
+        is given. `execution` is what a failure says, as the caller knows it.
 
-    def note_lost(self) -> None:
-        """Note that the connection broke or the answer was damaged."""
+        Raise `Failure` with `RETRIES_EXHAUSTED` or `DEADLINE_EXPIRED`.
+        """
+        if execution is None:
+            execution = Execution.NOT_RUN if attempt == 1 else Execution.MAY_HAVE_RUN
+        self._admission.note_queued(request)
+        if attempt == 1:
+            self._retries.note_first(
+                request.workspace, self._terms.retry_share, self._timers.now()
+            )
+        else:
+            cause = cause or self._find_cause(request)
+            await self._pause(request, attempt, cause, execution)
+        now = self._timers.now()
+        pool = self._pools.get(pool_key(request), now)
+        pool.asked_at[request.priority] = now
+        waiter = self._new_waiter(request, prefix_tokens, excluded, pool)
+        waiter.attempt = attempt
+        waiter.cause = cause
+        waiter.execution = execution
+        return await self._dispatcher.wait(waiter, pool)
 
+    def explain(self, request_id: str) -> list[Explanation]:
+        """Return why the attempts of a request were placed where they were."""
+        return self._explanations.find(request_id)
 
-class Router:
-    """Chooses the upstream with the least in flight from this host."""
+    def note_cache_event(self, event: CacheEvent) -> None:
+        """Note what an engine says about its prefix cache."""
+        self._prefixes.note_event(event, self._timers.now())
 
-    def __init__(self, view: UpstreamView, timers: Timers):
-        self._view = view
-        self._timers = timers
-        self._in_flight: Counter[str] = Counter()
+    def _new_queue(self) -> FairQueue:
+        order = ORDERS[self._settings.queue]
+        share = self._settings.lower_class_share
+        return FairQueue(order, self._terms.weight_of, share)
 
-    async def acquire(
-        self, request: Request, prefix_tokens: int, excluded: frozenset[str]
-    ) -> Placement:
-        """Return a place, as soon as an upstream has room.
+    def _new_waiter(
+        self, request: Request, prefix_tokens: int, excluded: frozenset[str], pool: Pool
+    ) -> Waiter:
+        left = max(0, request.max_tokens - prefix_tokens)
+        work = self._measure(request, prefix_tokens, left, pool)
+        prefill = min(
+            (t.upstream.load.prefill_seconds for t in pool.members), default=0
+        )
+        cost = work.tokens * prefill + work.answer_tokens * pool.decode_seconds
+        if not work.is_engine_work:
+            cost = pool.hold.value
+        return Waiter(
+            work=work,
+            excluded=excluded,
+            cost=cost,
+            latest_start=latest_start(request, pool, left),
+            queued_at=self._timers.now(),
+        )
 
-        `prefix_tokens` were generated by earlier attempts; upstreams named in
-        `excluded` are taken only if there is no other.
-        """
-        while True:
-            upstream = self._choose(request, excluded)
-            if upstream is not None:
-                self._in_flight[upstream.name] += 1
-                return Placement(upstream, self)
-            await self._timers.sleep(_POLL_SECONDS)
+    def _measure(
+        self, request: Request, prefix_tokens: int, left: int, pool: Pool
+    ) -> Work:
+        hashes = []
+        if self._settings.choice == "predicted" and request.prompt:
+            hashes = hash_blocks(request.prompt)
+        characters = len(request.prompt)
+        prompt_tokens = round(characters * pool.tokens_per_character.value)
+        block_tokens = 0.0
+        if hashes:
+            block_tokens = prompt_tokens * BLOCK_BYTES / len(request.prompt.encode())
+        return Work(
+            request=request,
+            tokens=prompt_tokens + prefix_tokens,
+            prompt_tokens=prompt_tokens,
+            answer_tokens=left * pool.answer_shares[request.priority].value,
+            hashes=hashes,
+            block_tokens=block_tokens,
+        )
 
-    def release(self, placement: Placement) -> None:
-        """Give a place back."""
-        self._in_flight[placement.upstream.name] -= 1
+    def _find_cause(self, request: Request) -> RetryCause:
+        """Tell a loss of the upstream from a failure of one that lives."""
+        ending = self._endings.pop(request.id, None)
+        if ending is None:
+            return RetryCause.DIED
+        now = self._timers.now()
+        self._pools.sync(now)
+        tracked = self._pools.find(ending.upstream, ending.epoch)
+        if tracked is None or tracked.upstream.is_leaving:
+            return RetryCause.RECLAIMED
+        if ending.is_busy or ending.is_refused and tracked.is_erring(now):
+            return RetryCause.REFUSED
+        return RetryCause.FAILED if tracked.is_erring(now) else RetryCause.DIED
 
-    def check(self, request: Request) -> None:
-        """Raise `Failure` with `NO_UPSTREAM` if nothing serves the request."""
-        if not any(_serves(upstream, request) for upstream in self._view.candidates()):
+    async def _pause(
+        self, request: Request, attempt: int, cause: RetryCause, execution: Execution
+    ) -> None:
+        """Pay for a retry, and wait before it."""
+        is_paid = self._retries.take(request.workspace, self._timers.now())
+        if not is_paid and not cause.may_exceed:
             raise Failure(
-                Code.NO_UPSTREAM,
-                f"No upstream serves {request.target} now.",
-                retry_after=1.0,
+                Code.RETRIES_EXHAUSTED,
+                f"Attempt {attempt - 1} was {cause}, and the retry budget is used up.",
+                execution=execution,
+                retry_after=self._settings.retry_floor_period,
             )
+        # The first move of a request whose upstream went is at once.
+        if is_paid and cause.may_exceed and attempt == 2:
+            return
+        pause = draw_pause(attempt - 1, self._rng, self._settings)
+        if self._timers.wall() + pause >= request.deadline:
+            raise Failure(
+                Code.DEADLINE_EXPIRED,
+                "No time is left for another attempt.",
+                execution=execution,
+            )
+        await self._timers.sleep(pause)
 
-    def _choose(self, request: Request, excluded: frozenset[str]) -> Upstream | None:
-        usable = [u for u in self._view.candidates() if _serves(u, request)]
-        fresh = [u for u in usable if u.name not in excluded]
-        free = [u for u in fresh or usable if self._in_flight[u.name] < u.slots]
-        return min(free, key=lambda u: self._in_flight[u.name], default=None)
+    def _note_placed(self, placement: Placement, choice: Choice) -> None:
+        now = placement.started_at
+        waiter = placement.waiter
+        work = waiter.work
+        for prediction in choice.considered:
+            if prediction.upstream == placement.upstream.name:
+                self._note_prediction(placement, prediction)
+        placement.targets = self._terms.targets_of(work.request)
+        self._prefixes.note_placed(placement.upstream.name, work.hashes, now)
+        self._explanations.add(
+            Explanation(
+                request_id=work.request.id,
+                attempt=waiter.attempt,
+                upstream=placement.upstream.name,
+                placed_at=self._timers.wall(),
+                waited=now - waiter.queued_at,
+                policy=self._settings.choice,
+                reason=choice.reason,
+                retry_cause=waiter.cause or "",
+                considered=choice.considered,
+            )
+        )
 
+    def _note_prediction(self, placement: Placement, prediction: Prediction) -> None:
+        work = placement.waiter.work
+        placement.uncached_tokens = work.tokens - prediction.cached_tokens
+        placement.predicted = prediction.seconds - prediction.history
+        if work.block_tokens:
+            blocks = prediction.cached_tokens / work.block_tokens
+            placement.expected_blocks = blocks
 
-def _serves(upstream: Upstream, request: Request) -> bool:
-    if request.kind is RequestKind.SERVICE:
-        return upstream.service == request.target
-    return request.model_key in upstream.models
+    def _note_released(self, placement: Placement) -> None:
+        if placement.ending is None:
+            return
+        self._endings[placement.waiter.work.request.id] = placement.ending
+        if len(self._endings) > _ENDINGS:
+            self._endings.popitem(last=False)
--- /dev/null
+++ b/src/pepperstep/routing/tracked.py
@@ -0,0 +1,134 @@
+"""What this host knows of one upstream beyond what it announced."""
+
+from collections import deque
+
+from pepperstep.entities import Upstream
+from pepperstep.routing.averages import Average, Fading, Minimum
+from pepperstep.routing.breakers import Breaker
+from pepperstep.routing.limits import AdaptiveLimit
+from pepperstep.routing.settings import RoutingSettings
+
+__all__ = ["TrackedUpstream"]
+
+_MINIMUM_WINDOW = 60.0
+_ERRING_SECONDS = 30.0
+# Below this part of the places, hosts don't divide them.
+_CALM_PART = 0.5
+
+
+class TrackedUpstream:
+    """One start of an upstream, with this host's work on it and its history."""
+
+    def __init__(self, upstream: Upstream, settings: RoutingSettings, now: float):
+        self.upstream = upstream
+        self.in_flight = 0
+        # Prompt tokens in flight here whose first token hasn't come.
+        self.pending_tokens = 0
+        # Other hosts' work, as estimated from the last report, and their number.
+        self.others = 0
+        self.sharers = 0
+        self._reported_in_flight = 0
+        self.limit = AdaptiveLimit.from_slots(upstream.slots, settings)
+        self.breaker = Breaker(settings)
+        # Seconds that an attempt holds its place.
+        self.hold = Average()
+        # Seconds to the first token beyond the prefill, and between tokens.
+        self.overhead = Average(0.2)
+        self.gap = Average(0.2)
+        self.least_overhead = Minimum(_MINIMUM_WINDOW)
+        self.least_gap = Minimum(_MINIMUM_WINDOW)
+        # Seconds beyond the prediction, and the share of attempts that failed.
+        self.excess = Fading(settings.history_half_life)
+        self.failures = Fading(settings.history_half_life)
+        # Since when attempts have failed without a sign of life.
+        self.failing_since: float | None = None
+        self._erring_until = float("-inf")
+        self._death_seconds = settings.death_seconds
+        self._report_lag = settings.report_lag
+        # Times and numbers of own attempts in flight, as far back as a report.
+        self._changes: deque[tuple[float, int]] = deque([(now, 0)])
+        self._estimate_others(now)
+
+    @property
+    def total(self) -> int:
+        """Attempts believed to run or wait there, from all hosts.
+
+        Each other host is taken to have started as much as this one since the
+        report, or all of them would take the same place that became free.
+        """
+        started = self.in_flight - self._reported_in_flight
+        unseen = started * self.sharers if started > 0 else 0
+        return self.others + self.in_flight + unseen
+
+    def update(self, upstream: Upstream, now: float) -> None:
+        """Take a newer announcement of the same start."""
+        if upstream is self.upstream:
+            return
+        self.upstream = upstream
+        self._estimate_others(now)
+
+    def has_room(self, share: float) -> bool:
+        """Whether an attempt may start, of a class with this share of places.
+
+        One attempt may always run, lest other hosts keep this one out. Where
+        places are kept free for higher classes, hosts divide the others among
+        them, as each sees too late what the rest have started.
+        """
+        if self.in_flight == 0:
+            return True
+        total = self.total
+        places = self.limit.value * share
+        if total >= places or share >= 1.0:
+            return total < places
+        own_places = places // (self.sharers + 1)
+        return self.in_flight < own_places or total < _CALM_PART * places
+
+    def note_started(self, tokens: int, now: float) -> None:
+        """Count an attempt of this host that starts."""
+        self.in_flight += 1
+        self.pending_tokens += tokens
+        self._note_change(now)
+
+    def note_ended(self, now: float) -> None:
+        """Count an attempt of this host that has ended."""
+        self.in_flight -= 1
+        self._note_change(now)
+
+    def note_alive(self, started_at: float, now: float) -> None:
+        """Note an answer to an attempt, which shows that the upstream lives.
+
+        An attempt begun after others were lost shows that it had not died.
+        """
+        if self.failing_since is not None and started_at > self.failing_since:
+            self._erring_until = now + _ERRING_SECONDS
+            self.failing_since = None
+
+    def note_failed(self, now: float) -> None:
+        """Note an attempt that was lost or refused."""
+        if self.failing_since is None:
+            self.failing_since = now
+
+    def is_erring(self, now: float) -> bool:
+        """Whether it fails although it lives."""
+        if now < self._erring_until:
+            return True
+        since = self.failing_since
+        return since is not None and now - since > self._death_seconds
+
+    def _estimate_others(self, now: float) -> None:
+        """Subtract own work from the report, whatever its age in the lag."""
+        self._prune(now)
+        own = max(number for _, number in self._changes)
+        load = self.upstream.load
+        self.others = max(0, load.running + load.waiting - own)
+        self._reported_in_flight = self.in_flight
+
+    def _note_change(self, now: float) -> None:
+        self._changes.append((now, self.in_flight))
+        if len(self._changes) > 64:
+            self._prune(now)
+
+    def _prune(self, now: float) -> None:
+        changes = self._changes
+        while len(changes) > 1 and changes[1][0] < now - self._report_lag:
+            changes.popleft()
