--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -26,7 +26,15 @@
     """Return the exit code."""
     ports = free_ports(12)
     daemons = [
-        DaemonPlace(f"entry-{n}", zone, "dosanko", "kitahara", ports.pop(), ports.pop())
+        DaemonPlace(
+            f"entry-{n}",
+            zone,
+            "dosanko",
+            "kitahara",
+            ports.pop(),
+            ports.pop(),
+            ("entry", "control"),
+        )
         for n, zone in enumerate(ZONES)
     ]
     engines = [
--- a/demo/launcher.py
+++ b/demo/launcher.py
@@ -127,7 +127,11 @@
             ],
             "control": {
                 "voters": [p.name for p in all_places if "control" in p.roles],
-                "data_folder": str(self.folder / f"{place.name}-data"),
+                "data_folder": (
+                    str(self.folder / f"{place.name}-data")
+                    if "control" in place.roles
+                    else ""
+                ),
             },
             "documents": {"base": str(base)},
             "upstream_key": UPSTREAM_KEY,
--- a/src/pepperstep/daemon.py
+++ b/src/pepperstep/daemon.py
@@ -4,31 +4,34 @@
 import secrets
 import signal
 import sys
-import tomllib
 from pathlib import Path
 
 import trio
 from absl import app, flags, logging
-from pydantic import TypeAdapter
 
 from pepperstep.adapters.files import FolderStorage
 from pepperstep.adapters.grpc_peers import GrpcPeers, PeerCredentials
 from pepperstep.adapters.http_api import Api, serve_api
+from pepperstep.adapters.http_cloud import HttpCloud
 from pepperstep.adapters.http_upstreams import HttpUpstreams
+from pepperstep.adapters.http_weights import HttpWeights
 from pepperstep.adapters.timers import TrioTimers
-from pepperstep.configuration import BaseDocument, Configuration
-from pepperstep.entities import Host
-from pepperstep.errors import InvalidDocument
-from pepperstep.fakes import FakeAgreement, FakeLog
-from pepperstep.node import Node, Ports, StaticDirectory
+from pepperstep.errors import Failure, InvalidDocument
+from pepperstep.first_documents import propose_first_documents
+from pepperstep.node import Node, Ports
+from pepperstep.observability import LogFormat, set_up_logs
 from pepperstep.settings import Settings, TlsSettings, read_settings
 
 __all__ = ["main"]
 
 EXIT_SETTINGS = 2
 EXIT_LISTEN = 3
+EXIT_STORAGE = 4
 
 _CONFIG = flags.DEFINE_string("config", "", "File with the daemon's settings (TOML).")
+_LOG_FORMAT = flags.DEFINE_enum_class(
+    "log_format", LogFormat.TEXT, LogFormat, "Form of the log's lines."
+)
 
 
 def main() -> None:
@@ -37,19 +40,30 @@
 
 
 def _main(_: list[str]) -> None:
-    try:
-        settings = read_settings(Path(_CONFIG.value))
-    except InvalidDocument as error:
-        print(f"pepperstepd: Settings are invalid:\n{error.text}", file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    except OSError as error:
-        print(f"pepperstepd: {error}", file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
+    set_up_logs(_LOG_FORMAT.value)
+    settings = _read_settings(_CONFIG.value)
     try:
         trio.run(_run, settings)
     except* OSError as errors:
-        print(f"pepperstepd: {errors.exceptions[0]}", file=sys.stderr)
-        sys.exit(EXIT_LISTEN)
+        _exit(EXIT_LISTEN, f"{errors.exceptions[0]}")
+    except* Failure as errors:
+        _exit(EXIT_STORAGE, f"{errors.exceptions[0]}")
+
+
+def _read_settings(name: str) -> Settings:
+    if not name:
+        _exit(EXIT_SETTINGS, "Name the settings by --config FILE.")
+    try:
+        return read_settings(Path(name))
+    except InvalidDocument as error:
+        _exit(EXIT_SETTINGS, f"Settings are invalid:\n{error.text}")
+    except OSError as error:
+        _exit(EXIT_SETTINGS, f"Settings can't be read: {error}")
+
+
+def _exit(code: int, text: str) -> None:
+    print(f"pepperstepd: {text}", file=sys.stderr)
+    sys.exit(code)
 
 
 async def _run(settings: Settings) -> None:
@@ -57,65 +71,59 @@
     peers = GrpcPeers(
         settings.host.name, settings.host.peer_address, _credentials(settings.tls)
     )
-    ports = Ports(
-        TrioTimers(rng),
-        peers,
-        HttpUpstreams(settings.upstream_key),
-        rng,
-        _storage(settings),
-    )
-    hosts = [settings.to_host()]
-    for seed in settings.seeds:
-        peers.set_address(seed.name, seed.peer_address)
-        hosts.append(
-            Host(seed.name, seed.peer_address, "", seed.name, settings.host.region, "")
-        )
-    agreement = FakeAgreement(settings.host.name, FakeLog())
-    table = tomllib.loads(Path(settings.documents.base).read_text())
-    base = TypeAdapter(BaseDocument).validate_python(table)
-    configuration = Configuration(
-        1,
-        base.sites,
-        base.limits,
-        upstream_keys=base.upstream_keys,
-        workspaces=base.workspaces,
-        callers=base.callers,
-        deployments=base.deployments,
-        services=base.services,
-    )
-    node = Node(settings, ports, StaticDirectory(hosts), agreement, configuration)
-    stop = trio.Event()
+    node = Node(settings, _ports_of(settings, peers, rng))
+    api = Api(node, node.metrics, node.operations)
     async with trio.open_nursery() as nursery:
         await nursery.start(peers.serve)
         await nursery.start(node.run)
-        nursery.start_soon(_wait_for_signal, stop)
+        nursery.start_soon(_drain_at_signal, node)
+        nursery.start_soon(
+            propose_first_documents,
+            settings.documents,
+            node.store,
+            node.agreement,
+            node.timers,
+        )
+        await _serve(api, node, settings, nursery)
+        await node.depart()
+        nursery.cancel_scope.cancel()
 
-        async def serve(task_status) -> None:
-            await serve_api(
-                Api(node),
-                settings,
-                node.configuration.limits,
-                stop.wait,
-                task_status,
-            )
-            nursery.cancel_scope.cancel()
 
-        await nursery.start(serve)
-        logging.info("daemon: Listens on %s.", settings.host.caller_address)
+async def _serve(
+    api: Api, node: Node, settings: Settings, nursery: trio.Nursery
+) -> None:
+    """Serve callers until the host has drained and all connections are done."""
+    is_drained = trio.Event()
 
+    async def drain() -> None:
+        await node.wait_drain_asked()
+        await node.drain()
+        is_drained.set()
 
-async def _wait_for_signal(stop: trio.Event) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            logging.info("daemon: Drains.")
-            stop.set()
-            return
+    nursery.start_soon(drain)
+    logging.info("daemon: Listens on %s.", settings.host.caller_address)
+    await serve_api(api, settings, node.configuration.limits, is_drained.wait)
 
 
-def _storage(settings: Settings) -> FolderStorage | None:
-    if not settings.control.data_folder:
-        return None
-    return FolderStorage(Path(settings.control.data_folder))
+async def _drain_at_signal(node: Node) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            node.start_drain()
+
+
+def _ports_of(settings: Settings, peers: GrpcPeers, rng: random.Random) -> Ports:
+    cloud_url = settings.cloud.cloud_url
+    weights_url = settings.cloud.weight_store_url
+    data_folder = settings.control.data_folder
+    return Ports(
+        timers=TrioTimers(rng),
+        peers=peers,
+        upstreams=HttpUpstreams(settings.upstream_key),
+        rng=rng,
+        storage=FolderStorage(Path(data_folder)) if data_folder else None,
+        cloud=HttpCloud(cloud_url) if cloud_url else None,
+        weights=HttpWeights(weights_url) if weights_url else None,
+    )
 
 
 def _credentials(tls: TlsSettings) -> PeerCredentials | None:
--- a/src/pepperstep/node.py
+++ b/src/pepperstep/node.py
@@ -1,120 +1,305 @@
 """One host's parts put together, on ports that the daemon or a test gives."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import trio
 from absl import logging
 
-from pepperstep.configuration import Configuration
-from pepperstep.entities import Host, Upstream
+from pepperstep.claims import MACHINE_NAME, ClaimMachine, Claims, Fences
+from pepperstep.configuration import Configuration, ConfigurationStore, StoreSettings
+from pepperstep.consensus import Consensus, RemoteAgreement
+from pepperstep.errors import Code, Failure
+from pepperstep.fleet import Fleet, FleetPorts
+from pepperstep.local_registry import UpstreamRegistry
+from pepperstep.membership import Membership, Seed
+from pepperstep.observability import EventLog, Explanations, Metrics
+from pepperstep.operations import Operations
 from pepperstep.ports import (
-    Agreement,
-    Directory,
+    Cloud,
     PeerNetwork,
+    ReclaimNotice,
     Storage,
     Timers,
     UpstreamClient,
+    WeightStore,
+)
+from pepperstep.requests import (
+    LINK_MACHINE,
+    LinkMachine,
+    Notice,
+    Recovery,
+    RequestService,
 )
-from pepperstep.requests import RequestService
 from pepperstep.routing import Router
 from pepperstep.settings import Settings
 
 __all__ = ["Node", "Ports"]
 
-_LEASE_SECONDS = 3.0
+_JOIN_SECONDS = 2.0
+_RETRY_SECONDS = 0.5
+_DRAIN_POLL_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
 class Ports:
-    """What a host needs from outside; `storage` only on control hosts."""
+    """What a host needs from outside.
+
+    `storage` is for control hosts; `cloud` and `weights` for those that run
+    the fleet.
+    """
 
     timers: Timers
     peers: PeerNetwork
     upstreams: UpstreamClient
     rng: random.Random
     storage: Storage | None = None
-
-
-class LocalRegistry:
-    """Upstreams that announced themselves at this host."""
-
-    def __init__(self, timers: Timers):
-        self._timers = timers
-        self._upstreams: dict[str, tuple[Upstream, float]] = {}
-
-    def announce(self, upstream: Upstream, sequence: int) -> float:
-        """Renew an upstream's lease and return its length in seconds."""
-        self._upstreams[upstream.name] = (
-            upstream,
-            self._timers.now() + _LEASE_SECONDS,
-        )
-        return _LEASE_SECONDS
-
-    def candidates(self) -> list[Upstream]:
-        """Return the upstreams with a lease that aren't leaving."""
-        now = self._timers.now()
-        return [
-            upstream
-            for upstream, expires_at in self._upstreams.values()
-            if expires_at > now and not upstream.is_leaving
-        ]
-
-
-class StaticDirectory:
-    """All hosts of the settings, taken as alive."""
-
-    def __init__(self, hosts: list[Host]):
-        self._hosts = hosts
-
-    def entry_hosts(self) -> list[Host]:
-        """Return all hosts."""
-        return self._hosts
-
-    def is_gone(self, host: str, incarnation: int) -> bool:
-        """Return False."""
-        return False
+    cloud: Cloud | None = None
+    weights: WeightStore | None = None
 
 
 class Node:
-    """A host with its parts, which run until cancelled."""
-
-    def __init__(
-        self,
-        settings: Settings,
-        ports: Ports,
-        directory: Directory,
-        agreement: Agreement,
-        configuration: Configuration,
-    ):
+    """A host with its parts, which run until it's cancelled or has drained."""
+
+    def __init__(self, settings: Settings, ports: Ports):
         self.host = settings.to_host()
         self.timers = ports.timers
-        self.directory = directory
-        self.configuration = configuration
-        self.registry = LocalRegistry(ports.timers)
-        self.router = Router(self.registry, ports.timers)
-        limits = configuration.limits
-        self.requests = RequestService(
+        self.metrics = Metrics()
+        self.events = EventLog(self.host.name, ports.timers)
+        self.explanations = Explanations(self.host.name, ports.timers)
+        self._settings = settings
+        self._ports = ports
+        self._drain_asked = trio.Event()
+        incarnation = int(ports.timers.wall() * 1000)
+        self.directory = Membership.from_config(
             self.host,
-            int(ports.timers.wall() * 1000),
+            [Seed(seed.peer_address, seed.name) for seed in settings.seeds],
             ports.peers,
             ports.timers,
-            directory,
-            agreement,
-            self.router,
+            ports.rng,
+            incarnation,
+        )
+        self.agreement = _agreement_of(settings, ports)
+        self.agreement.register(LINK_MACHINE, LinkMachine())
+        self.agreement.register(MACHINE_NAME, ClaimMachine())
+        self.store = self._make_store()
+        self._fences = Fences.from_config(self.host.name, self.agreement)
+        self._claims = Claims.from_config(
+            lambda: self._fences.identity,
+            self.agreement,
+            ports.timers,
+            lambda: self.configuration.limits.claim_seconds,
+        )
+        self.registry = UpstreamRegistry.from_config(
+            self.host, self.directory, ports.peers, ports.timers, ports.rng
+        )
+        self._recovery = Recovery.from_ports(
+            self.host.name,
+            incarnation,
+            ports.peers,
+            ports.timers,
+            self.directory,
             ports.upstreams,
-            is_single=settings.requests.is_single,
-            resume_grace=limits.resume_grace_seconds,
-            outcome_seconds=limits.outcome_seconds,
+            ports.rng,
+            view=self.registry,
         )
+        self.router = self._make_router()
+        self.requests = self._make_requests(incarnation)
+        self._fleet = self._make_fleet()
+        self.operations = Operations(
+            self.host,
+            ports.peers,
+            self.directory,
+            self.agreement,
+            self.store,
+            self.registry,
+            self.router,
+            self.requests,
+            self.events,
+            self.explanations,
+            self.reasons_not_ready,
+            self.start_drain,
+        )
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force, of revision 0 while none is known."""
+        return self.store.current
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this host has begun to leave."""
+        return self._drain_asked.is_set()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Run all parts."""
+        """Run all parts until cancelled."""
         async with trio.open_nursery() as nursery:
-            await nursery.start(self.requests.run)
+            for start in self._starters():
+                await nursery.start(start)
+            nursery.start_soon(self._join_fences)
             logging.info("node: Host %s runs.", self.host.name)
             task_status.started()
 
     def reasons_not_ready(self) -> list[str]:
         """Return why this host should get no requests now."""
-        return []
+        reasons = []
+        if self.is_leaving:
+            reasons.append("The host leaves.")
+        if not self.store.is_ready:
+            reasons.append("The agreed revision of the configuration is not known.")
+        elif not self.configuration.revision:
+            reasons.append("There is no configuration yet.")
+        if not self._fences.identity.incarnation:
+            reasons.append("The host has not joined the control hosts' log.")
+        if not self._settings.requests.is_single and self._is_alone():
+            reasons.append("No second entry host is reachable.")
+        return reasons
+
+    def start_drain(self) -> None:
+        """Begin to leave; `wait_drained` returns once that's done."""
+        if not self.is_leaving:
+            logging.info("node: Drains.")
+            self.events.note("node", "The host leaves.", "A drain was asked for.")
+        self._drain_asked.set()
+
+    async def wait_drain_asked(self) -> None:
+        """Return once the host has been asked to leave."""
+        await self._drain_asked.wait()
+
+    async def drain(self) -> None:
+        """Leave without cutting off a request.
+
+        The host leaves the list of entry hosts at once and serves on for as
+        long as callers keep that list. What still runs after the drain's time
+        is handed over to the second hosts.
+        """
+        await self.directory.leave()
+        await self.timers.sleep(self.configuration.limits.entry_hosts_seconds)
+        with self.timers.move_on_after(self._settings.requests.drain_seconds):
+            while self.requests.running:
+                await self.timers.sleep(_DRAIN_POLL_SECONDS)
+        if self.requests.running:
+            await self.requests.hand_over()
+
+    async def depart(self) -> None:
+        """Tell the others that this host has left."""
+        await self.directory.depart()
+
+    def _starters(self) -> list[Callable]:
+        starters = [
+            self.directory.run,
+            self.agreement.run,
+            self.store.run,
+            self._claims.run,
+            self.registry.run,
+            self.router.run,
+            self.requests.run,
+        ]
+        if self._fleet is not None:
+            starters.append(self._fleet.run)
+        return starters
+
+    def _make_store(self) -> ConfigurationStore:
+        control = self._settings.control.voters
+        return ConfigurationStore.from_config(
+            StoreSettings(
+                self.host.name,
+                self.host.is_control,
+                lambda: [host.name for host in self.directory.hosts()],
+                lambda: control,
+            ),
+            self.agreement,
+            self._ports.peers,
+            self._ports.timers,
+            self._ports.rng,
+            self._ports.storage,
+        )
+
+    def _make_router(self) -> Router:
+        return Router(
+            self._recovery.moves,
+            self._ports.timers,
+            rng=self._ports.rng,
+            configuration=lambda: self.configuration,
+            zone=self.host.zone,
+            region=self.host.region,
+            host_count=lambda: len(self.directory.entry_hosts()),
+        )
+
+    def _make_requests(self, incarnation: int) -> RequestService:
+        limits = self.configuration.limits
+        return RequestService(
+            self.host,
+            incarnation,
+            self._ports.peers,
+            self._ports.timers,
+            self.directory,
+            self.agreement,
+            self.router,
+            self._ports.upstreams,
+            is_single=self._settings.requests.is_single,
+            resume_grace=limits.resume_grace_seconds,
+            outcome_seconds=limits.outcome_seconds,
+            claims=self._claims,
+            recorder=self.metrics,
+            recovery=self._recovery,
+        )
+
+    def _make_fleet(self) -> Fleet | None:
+        if not self.host.is_control or self._ports.cloud is None:
+            return None
+        ports = FleetPorts(
+            self.host.name,
+            self.agreement,
+            self._ports.cloud,
+            self._ports.upstreams,
+            self.registry,
+            self._ports.timers,
+            self._ports.rng,
+            self._ports.weights,
+        )
+        return Fleet.from_config(ports, lambda: self.configuration, self._reclaim)
+
+    async def _reclaim(self, notices: list[ReclaimNotice]) -> None:
+        """Tell all entry hosts of hosts that the cloud takes back."""
+        for notice in notices:
+            self.registry.mark_host_leaving(notice.host_id)
+            self.events.note("fleet", f"The cloud takes {notice.host_id} back.")
+        self._recovery.moves.reclaim(
+            [Notice(str(notice.id), notice.host_id, notice.at) for notice in notices]
+        )
+
+    async def _join_fences(self) -> None:
+        start_id = f"{self._ports.rng.getrandbits(64):016x}"
+        while True:
+            try:
+                await self._fences.join(start_id, _JOIN_SECONDS)
+            except Failure as failure:
+                if failure.code is not Code.NO_QUORUM:
+                    raise
+                await self.timers.sleep(_RETRY_SECONDS)
+            else:
+                return
+
+    def _is_alone(self) -> bool:
+        others = [h for h in self.directory.entry_hosts() if h.name != self.host.name]
+        return not others
+
+
+def _agreement_of(settings: Settings, ports: Ports) -> Consensus | RemoteAgreement:
+    if "control" not in settings.host.roles:
+        return RemoteAgreement.from_config(
+            voters=settings.control.voters,
+            peers=ports.peers,
+            timers=ports.timers,
+            rng=ports.rng,
+        )
+    return Consensus.from_config(
+        name=settings.host.name,
+        voters=settings.control.voters,
+        storage=ports.storage,
+        peers=ports.peers,
+        timers=ports.timers,
+        rng=ports.rng,
+    )
