--- a/standins/engine.py
+++ b/standins/engine.py
@@ -15,6 +15,7 @@
 import xxhash
 from absl import app, flags
 
+from standins.announcing import announce
 from standins.text import answer_token, count_tokens
 from standins.web import Application, Reply, json_reply, serve
 
@@ -106,7 +107,6 @@
         self._slots = trio.CapacityLimiter(_SLOTS.value)
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._imported: dict[str, int] = {}
-        self._sequence = 0
 
     def application(self) -> Application:
         """Return its HTTP interface."""
@@ -121,33 +121,11 @@
         application.add("GET", "/standin/v1/counts", self._read_counts)
         return application
 
-    async def announce(self) -> None:
-        """Renew the lease at the entry hosts, one after another."""
-        async with httpcore.AsyncConnectionPool() as pool:
-            while True:
-                for url in _ENTRY_HOSTS.value:
-                    with trio.move_on_after(1.0):
-                        await self._announce_at(pool, url)
-                await trio.sleep(_HEARTBEAT.value)
-
-    async def _announce_at(self, pool: httpcore.AsyncConnectionPool, url: str) -> None:
-        self._sequence += 1
-        headers = {"authorization": f"Bearer {_KEY.value}"}
-        try:
-            await pool.request(
-                "POST",
-                f"{url}/upstreams/v1/announce",
-                headers=headers,
-                content=msgspec.json.encode(self._announcement()),
-            )
-        except (httpcore.NetworkError, httpcore.ProtocolError):
-            return
-
-    def _announcement(self) -> dict:
+    def describe(self) -> dict:
+        """Return its announcement."""
         return {
             "name": _NAME.value,
             "epoch": self.epoch,
-            "sequence": self._sequence,
             "address": _ADDRESS.value,
             "kind": "engine",
             "host": _HOST.value or _NAME.value,
@@ -355,7 +333,13 @@
 async def _run() -> None:
     engine = Engine()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(engine.announce)
+        nursery.start_soon(
+            announce,
+            _ENTRY_HOSTS.value,
+            _KEY.value,
+            _HEARTBEAT.value,
+            engine.describe,
+        )
         await serve(engine.application(), _ADDRESS.value)
         nursery.cancel_scope.cancel()
 
