Tests of the routing's queue, retries and breakers

Retries that may exceed their budget are now a debt that first attempts pay back, so that their share holds over time; predicted waits are corrected by how the last ones turned out; a class that is owed a start may take any place, as replies that kept coming left none to reviews. Doubling ejections began anew while an upstream never became healthy.

--- a/measure/routing.py
+++ b/measure/routing.py
@@ -15,7 +15,7 @@
 from trio.testing import MockClock
 
 from pepperstep.configuration import Configuration
-from pepperstep.configuration.schema import Workspace
+from pepperstep.configuration.schema import Limits, Workspace
 from pepperstep.entities import ModelKey, Priority, Request, RequestKind, Upstream
 from pepperstep.errors import Failure
 from pepperstep.fakes import FakeEngine, FakeTimers, FakeUpstreams
@@ -91,6 +91,7 @@
     first_token: float | None = None
     gaps: float = 0.0
     is_answered: bool = False
+    ended_at: float = 0.0
     code: str = ""
     retry_after: float = 0.0
     attempts: int = 0
@@ -140,6 +141,7 @@
         engines: int = 9,
         hosts: int = 3,
         workspaces: dict[str, Workspace] | None = None,
+        retry_share: float = 0.1,
         **options,
     ):
         self.rng = random.Random(11)
@@ -150,7 +152,9 @@
         ]
         self.upstreams = FakeUpstreams(self.engines)
         self.view = LaggedView(self.upstreams)
-        configuration = Configuration(workspaces=workspaces or {})
+        configuration = Configuration(
+            limits=Limits(retry_share=retry_share), workspaces=workspaces or {}
+        )
         self.routers = [
             Router(
                 self.view,
@@ -211,6 +215,7 @@
         request = sample.request
         with trio.move_on_after(max(0.0, request.deadline - self.timers.wall())):
             await self._attempt_until_answered(router, sample)
+        sample.ended_at = trio.current_time()
         if not sample.is_answered:
             sample.code = "deadline_expired"
 
@@ -413,6 +418,13 @@
     site.engines[0].slow_seconds = 0.0
 
 
+async def _fail(site: Site) -> None:
+    await trio.sleep(5)
+    site.engines[0].fail_share = 1.0
+    await trio.sleep(20)
+    site.engines[0].fail_share = 0.0
+
+
 async def _brown_out(site: Site) -> None:
     await trio.sleep(5)
     for engine in site.engines[::2]:
@@ -426,14 +438,16 @@
     async def work(site: Site, nursery: trio.Nursery) -> None:
         async with trio.open_nursery() as faults:
             faults.start_soon(fault, site)
-            await send(site, nursery, 50.0, 40.0, lambda: site.request(max_tokens=20))
+            await send(site, nursery, 68.0, 40.0, lambda: site.request(max_tokens=20))
             faults.cancel_scope.cancel()
 
     return work
 
 
 def _line_breaker(figures: Figures) -> tuple[str, ...]:
+    answered = figures.count(lambda sample: sample.is_answered)
     return (
+        f"{answered / figures.seconds:.1f}",
         _milliseconds(figures.percentile(0.5)),
         _milliseconds(figures.percentile(0.95)),
         _milliseconds(figures.percentile(0.99)),
@@ -457,17 +471,22 @@
             deadline=site.timers.wall() + (6 if is_reply else 15),
         )
 
-    await send(site, nursery, 2 * _OVERLOAD_CAPACITY, 60.0, make)
+    await send(site, nursery, 2 * _OVERLOAD_CAPACITY, _OVERLOAD_SECONDS, make)
 
 
 # 9 engines of 8 slots; a request holds one for 0.3 * 0.44 + 0.7 * 1.04 s.
+_OVERLOAD_SECONDS = 60.0
 _OVERLOAD_CAPACITY = 72 / (0.3 * 0.43 + 0.7 * 1.03)
 
 
 def _line_overload(figures: Figures) -> tuple[str, ...]:
     refused = [each for each in figures.samples if each.code in _REFUSALS]
     answered = [each for each in figures.samples if each.is_answered]
-    work = sum(0.03 + 0.02 * each.request.max_tokens for each in answered)
+    work = sum(
+        0.03 + 0.02 * each.request.max_tokens
+        for each in answered
+        if each.ended_at < _OVERLOAD_SECONDS
+    )
     asked = {
         name: sum(each.request.workspace == name for each in figures.samples)
         for name in ("large", "small")
@@ -477,7 +496,7 @@
         for name in ("large", "small")
     }
     return (
-        _percent(work / (72 * figures.seconds)),
+        _percent(work / (72 * _OVERLOAD_SECONDS)),
         _milliseconds(
             figures.percentile(0.95, lambda each: each.priority == Priority.INTERACTIVE)
         ),
@@ -513,7 +532,16 @@
     **_variants("breaker", "none", "consecutive", "states"),
     "states, 4 probes": RoutingSettings(breaker="states", recovering_in_flight=4),
 }
-_BREAKER_HEADS = ("p50", "p95", "p99 ms", "retries", "no budget", "failed", "ejections")
+_BREAKER_HEADS = (
+    "answers/s",
+    "p50",
+    "p95",
+    "p99 ms",
+    "retries",
+    "no budget",
+    "failed",
+    "ejections",
+)
 _TTFT = ("p50", "p95", "p99 ms", "computed", "failed")
 
 SCENARIOS: dict[str, Scenario] = {
@@ -552,13 +580,17 @@
         _line_limits,
         {"engines": 3, "slots": 64, "easy_batch": 16},
     ),
-    "flapping": Scenario(
-        _with_fault(_flap), _BREAKER, _BREAKER_HEADS, _line_breaker, {}
-    ),
-    "slow": Scenario(_with_fault(_slow), _BREAKER, _BREAKER_HEADS, _line_breaker, {}),
-    "brownout": Scenario(
-        _with_fault(_brown_out), _BREAKER, _BREAKER_HEADS, _line_breaker, {}
-    ),
+    **{
+        name: Scenario(
+            _with_fault(fault), _BREAKER, _BREAKER_HEADS, _line_breaker, {"slots": 4}
+        )
+        for name, fault in {
+            "flapping": _flap,
+            "slow": _slow,
+            "failing": _fail,
+            "brownout": _brown_out,
+        }.items()
+    },
     "overload": Scenario(
         _work_overload,
         {
@@ -572,14 +604,18 @@
     ),
     "retries": Scenario(
         _work_retries,
-        {
-            "budget 10%": RoutingSettings(breaker="none"),
-            "no budget": RoutingSettings(breaker="none", retry_burst=10**9),
-        },
+        {"budget": RoutingSettings(breaker="none")},
         _BREAKER_HEADS,
         _line_breaker,
         {},
     ),
+    "retries_without_budget": Scenario(
+        _work_retries,
+        {"no budget": RoutingSettings(breaker="none", host_retry_burst=10**9)},
+        _BREAKER_HEADS,
+        _line_breaker,
+        {"retry_share": 1.0},
+    ),
 }
 
 
--- a/src/pepperstep/routing/admission.py
+++ b/src/pepperstep/routing/admission.py
@@ -29,6 +29,15 @@
     waiting: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Admitted:
+    """A request let in, when, and the wait predicted."""
+
+    request: Request
+    at: float
+    wait: float
+
+
 class Admission:
     """Decides on new requests by the work ahead of them and how it drains."""
 
@@ -36,8 +45,8 @@
         self._settings = settings
         self._terms = terms
         self._rng = rng
-        # Requests let in that haven't asked for a place, and since when.
-        self._admitted: dict[str, tuple[Request, float]] = {}
+        # Requests let in that haven't asked for a place.
+        self._admitted: dict[str, _Admitted] = {}
 
     def admit(
         self, request: Request, pool: Pool, room: Room, remaining: float, now: float
@@ -48,7 +57,7 @@
         is not to be accepted.
         """
         self._prune(now)
-        admitted = [each for each, _ in self._admitted.values()]
+        admitted = [each.request for each in self._admitted.values()]
         free = room.free - sum(pool_key(each) == pool.key for each in admitted)
         wait = self.predict_wait(pool, request) if free < 1 else 0.0
         waiting = room.waiting
@@ -57,17 +66,19 @@
             raise self._full(request, wait / waiting)
         if wait > 0.0 and self._settings.refuses_early:
             self._check_times(request, pool, wait, remaining)
-        self._admitted[request.id] = (request, now)
+        self._admitted[request.id] = _Admitted(request, now, wait)
 
-    def note_queued(self, request: Request) -> None:
-        """Note that a request asks for its place."""
-        self._admitted.pop(request.id, None)
+    def note_queued(self, request: Request) -> float:
+        """Return the wait predicted for a request, which asks for its place."""
+        admitted = self._admitted.pop(request.id, None)
+        return 0.0 if admitted is None else admitted.wait
 
     def predict_wait(self, pool: Pool, request: Request) -> float:
         """Return the seconds until a request would start, by the present drain.
 
         By Little's law places free at the rate of those held over the time
-        that each is held.
+        that each is held. What higher classes will ask for meanwhile is learned
+        from the waits that ended.
         """
 
         def hold_of(priority: Priority) -> float:
@@ -77,7 +88,8 @@
             return pool.hold.value or request.max_tokens * pool.decode_seconds
 
         ahead = pool.queue.work_ahead(request, hold_of)
-        return ahead / max(1, pool.in_flight)
+        error = pool.wait_errors[request.priority].value
+        return error * ahead / max(1, pool.in_flight)
 
     def _check_times(
         self, request: Request, pool: Pool, wait: float, remaining: float
@@ -97,8 +109,8 @@
             )
 
     def _prune(self, now: float) -> None:
-        for request_id, (_, admitted_at) in list(self._admitted.items()):
-            if now - admitted_at <= _ADMITTED_SECONDS:
+        for request_id, admitted in list(self._admitted.items()):
+            if now - admitted.at <= _ADMITTED_SECONDS:
                 return
             del self._admitted[request_id]
 
--- a/src/pepperstep/routing/breakers.py
+++ b/src/pepperstep/routing/breakers.py
@@ -46,7 +46,8 @@
 
     def eject(self, now: float) -> None:
         """Eject for a time that doubles with each ejection that follows soon."""
-        if now - self._healthy_since > 2 * self._wait:
+        is_healthy = self.state is BreakerState.HEALTHY
+        if is_healthy and now - self._healthy_since > 2 * self._wait:
             self._wait = self.settings.ejection_base
         self.state = BreakerState.EJECTED
         self.ejected_at = now
--- a/src/pepperstep/routing/dispatch.py
+++ b/src/pepperstep/routing/dispatch.py
@@ -140,8 +140,10 @@
             self._pass_polling_on()
 
     def _answer_late(self, pool: Pool) -> None:
+        now = self._timers.now()
         for waiter in pool.queue.take_late(self._timers.wall()):
             request = waiter.work.request
+            pool.note_wait(waiter, now)
             self._waiting[request.workspace] -= 1
             waiter.failure = Failure(
                 Code.DEADLINE_EXPIRED,
@@ -175,8 +177,12 @@
             return False
         return self._in_flight[workspace] < self._terms.max_in_flight_of(workspace)
 
-    def _usable(self, pool: Pool, request: Request, now: float):
+    def _usable(
+        self, pool: Pool, request: Request, now: float
+    ) -> list[TrackedUpstream]:
         share = pool.share_of(request.priority, now, self._settings)
+        if pool.queue.is_owed(request):
+            share = max(self._settings.class_shares)
         return [each for each in pool.members if each.has_room(share)]
 
     def _ejected(self, pool: Pool, now: float) -> set[Breaker]:
@@ -240,6 +246,7 @@
 
     def _place(self, waiter: Waiter, pool: Pool, choice: Choice) -> None:
         pool.queue.pop(waiter)
+        pool.note_wait(waiter, self._timers.now())
         tracked = choice.chosen
         placement = Placement(
             tracked, pool, waiter, self._feedback, self._timers, self._release
--- a/src/pepperstep/routing/pools.py
+++ b/src/pepperstep/routing/pools.py
@@ -5,7 +5,7 @@
 
 from pepperstep.entities import Priority, Upstream
 from pepperstep.routing.averages import Average
-from pepperstep.routing.queue import FairQueue
+from pepperstep.routing.queue import FairQueue, Waiter
 from pepperstep.routing.settings import RoutingSettings
 from pepperstep.routing.terms import Terms
 from pepperstep.routing.tracked import TrackedUpstream
@@ -16,6 +16,9 @@
 # A view with versions is looked at no more often than this.
 _SYNC_SECONDS = 0.02
 _TOKENS_PER_CHARACTER = 0.25
+# Predicted waits from which on errors are learned, and the largest error.
+_LEAST_WAIT = 0.1
+_LARGEST_ERROR = 4.0
 
 
 class UpstreamView(Protocol):
@@ -48,6 +51,8 @@
             priority: Average(0.05, initial=0.5) for priority in Priority
         }
         self.tokens_per_character = Average(0.05, initial=_TOKENS_PER_CHARACTER)
+        # Waits as a multiple of what was predicted, by class.
+        self.wait_errors = {priority: Average(0.05, 1.0) for priority in Priority}
         # When each class was last asked for.
         self.asked_at = dict.fromkeys(Priority, float("-inf"))
         self._typical = (float("-inf"), 0.0, 0.0)
@@ -68,6 +73,13 @@
         share = settings.class_shares[priority]
         return share if is_above_used else max(1.0, share)
 
+    def note_wait(self, waiter: Waiter, now: float) -> None:
+        """Learn from a wait that has ended how far the prediction was off."""
+        if waiter.predicted_wait > _LEAST_WAIT:
+            error = (now - waiter.queued_at) / waiter.predicted_wait
+            errors = self.wait_errors[waiter.work.request.priority]
+            errors.add(min(_LARGEST_ERROR, error * errors.value))
+
     def typical(self, now: float) -> tuple[float, float]:
         """Return the lower quartiles of the members' overheads and gaps."""
         computed_at, overhead, gap = self._typical
--- a/src/pepperstep/routing/queue.py
+++ b/src/pepperstep/routing/queue.py
@@ -26,6 +26,8 @@
     # Unix time after which it surely can't be answered within its deadline.
     latest_start: float
     queued_at: float
+    # Seconds of waiting that were predicted as it was let in.
+    predicted_wait: float = 0.0
     attempt: int = 1
     cause: RetryCause | None = None
     # What a failure says about earlier attempts.
@@ -127,6 +129,10 @@
             self._lanes[each].waiters for each in Priority if each <= priority
         )
 
+    def is_owed(self, request: Request) -> bool:
+        """Whether the request's class is due a start before higher ones."""
+        return self._lanes[self._order(request)[0]].credit >= 1.0
+
     def work_ahead(
         self, request: Request, hold_of: Callable[[Priority], float]
     ) -> float:
--- a/src/pepperstep/routing/retries.py
+++ b/src/pepperstep/routing/retries.py
@@ -49,6 +49,10 @@
         else:
             self.tokens = min(self._burst, self.tokens + share)
 
+    def take(self) -> None:
+        """Take a token, though there be none."""
+        self.tokens = max(-self._burst, self.tokens - 1)
+
     def is_empty(self, now: float) -> bool:
         """Whether no retry can be paid for."""
         if now - self._filled_at >= self._floor_period:
@@ -73,14 +77,17 @@
         self._host.note_first(share, now)
         self._bucket(workspace, now).note_first(share, now)
 
-    def take(self, workspace: str, now: float) -> bool:
-        """Pay for a retry and return True, or return False if there is no budget."""
+    def take(self, workspace: str, now: float, may_exceed: bool = False) -> bool:
+        """Pay for a retry and return True, or return False if there is no budget.
+
+        A retry that may exceed the budget becomes a debt, up to the burst.
+        """
         bucket = self._bucket(workspace, now)
-        if bucket.is_empty(now) or self._host.is_empty(now):
-            return False
-        bucket.tokens -= 1
-        self._host.tokens -= 1
-        return True
+        is_paid = not (bucket.is_empty(now) or self._host.is_empty(now))
+        if is_paid or may_exceed:
+            bucket.take()
+            self._host.take()
+        return is_paid
 
     def _bucket(self, workspace: str, now: float) -> _Bucket:
         bucket = self._workspaces.get(workspace)
--- a/src/pepperstep/routing/router.py
+++ b/src/pepperstep/routing/router.py
@@ -132,7 +132,7 @@
         """
         if execution is None:
             execution = Execution.NOT_RUN if attempt == 1 else Execution.MAY_HAVE_RUN
-        self._admission.note_queued(request)
+        predicted_wait = self._admission.note_queued(request)
         if attempt == 1:
             self._retries.note_first(
                 request.workspace, self._terms.retry_share, self._timers.now()
@@ -144,6 +144,7 @@
         pool = self._pools.get(pool_key(request), now)
         pool.asked_at[request.priority] = now
         waiter = self._new_waiter(request, prefix_tokens, excluded, pool)
+        waiter.predicted_wait = predicted_wait
         waiter.attempt = attempt
         waiter.cause = cause
         waiter.execution = execution
@@ -219,7 +220,8 @@
         self, request: Request, attempt: int, cause: RetryCause, execution: Execution
     ) -> None:
         """Pay for a retry, and wait before it."""
-        is_paid = self._retries.take(request.workspace, self._timers.now())
+        now = self._timers.now()
+        is_paid = self._retries.take(request.workspace, now, cause.may_exceed)
         if not is_paid and not cause.may_exceed:
             raise Failure(
                 Code.RETRIES_EXHAUSTED,
