Limits of the listener follow the configuration in force

Cause: the listener took its limits once, at a start that knows no configuration yet, so the configured ones never held. They are now asked for at each connection; headers are checked for each call. Settings without voters are a finding on every host: an entry host crashed at start without them. Tested: tests/api/test_server.py (a limit changed while it serves), tests/cli/test_settings.py.

--- a/src/pepperstep/adapters/http_api/server.py
+++ b/src/pepperstep/adapters/http_api/server.py
@@ -24,7 +24,7 @@
 # Requests on one connection; afterwards the caller chooses a host again.
 _MAX_KEEP_ALIVE_REQUESTS = 10_000
 # Longer headers get a bare 431, as they can't be read to the end.
-_LONGEST_HEADERS = 2
+_LONGEST_HEADERS = 256 * 1024
 
 _TOO_MANY = (
     b"HTTP/1.1 503 Service Unavailable\r\n"
@@ -42,17 +42,18 @@
 async def serve_api(
     application: Application,
     settings: Settings,
-    limits: Limits,
+    limits: Callable[[], Limits],
     stop: Callable[[], Awaitable[None]],
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve until `stop` returns, then let open requests end.
 
-    Raise OSError if the address can't be listened on.
+    `limits` returns those in force, which may change meanwhile. Raise OSError if
+    the address can't be listened on.
     """
-    config = _config_of(settings, limits)
+    config = _config_of(settings)
     listeners = _open_listeners(config)
-    server = _Server(application, config, limits.max_connections)
+    server = _Server(application, config, limits)
     async with trio.open_nursery() as connections:
         async with trio.open_nursery() as accepting:
             serve = partial(
@@ -76,17 +77,17 @@
         self,
         application: Application,
         config: hypercorn.config.Config,
-        max_connections: int,
+        limits: Callable[[], Limits],
     ):
         self._application = application
         self._config = config
-        self._max_connections = max_connections
+        self._limits = limits
         self._context = WorkerContext(None)
         self._open = 0
 
     async def handle(self, stream: trio.abc.Stream) -> None:
         """Serve one connection to its end, or refuse it."""
-        if self._open >= self._max_connections:
+        if self._open >= self._limits().max_connections:
             await _refuse(stream)
             return
         self._open += 1
@@ -103,7 +104,7 @@
         await self._context.terminated.set()
 
 
-def _config_of(settings: Settings, limits: Limits) -> hypercorn.config.Config:
+def _config_of(settings: Settings) -> hypercorn.config.Config:
     config = hypercorn.config.Config()
     config.bind = [settings.host.caller_address]
     config.backlog = _BACKLOG
@@ -114,7 +115,7 @@
     config.keep_alive_max_requests = _MAX_KEEP_ALIVE_REQUESTS
     config.ssl_handshake_timeout = _HANDSHAKE_SECONDS
     config.include_server_header = False
-    config.h11_max_incomplete_size = _LONGEST_HEADERS * limits.max_header_bytes
+    config.h11_max_incomplete_size = _LONGEST_HEADERS
     if settings.tls.caller_certificate:
         config.certfile = settings.tls.caller_certificate
         config.keyfile = settings.tls.caller_key
--- a/src/pepperstep/daemon.py
+++ b/src/pepperstep/daemon.py
@@ -102,7 +102,7 @@
 
     nursery.start_soon(drain)
     logging.info("daemon: Listens on %s.", settings.host.caller_address)
-    await serve_api(api, settings, node.configuration.limits, is_drained.wait)
+    await serve_api(api, settings, lambda: node.configuration.limits, is_drained.wait)
 
 
 async def _drain_at_signal(node: Node) -> None:
--- a/src/pepperstep/settings.py
+++ b/src/pepperstep/settings.py
@@ -68,7 +68,11 @@
 
 @dataclass(frozen=True, config=_STRICT)
 class ControlSettings:
-    """The replicated log; `voters` are the hosts of its first start."""
+    """The replicated log.
+
+    `voters` are the control hosts of its first start, which entry hosts ask;
+    `data_folder` is for control hosts.
+    """
 
     voters: tuple[Name, ...] = ()
     data_folder: str = ""
@@ -227,8 +231,8 @@
         yield ("control", "data_folder"), "is missing, and a control host needs it"
     if control.data_folder and Path(control.data_folder).is_file():
         yield ("control", "data_folder"), "is a file"
-    if is_control and not control.voters:
-        yield ("control", "voters"), "is missing, and a control host needs it"
+    if not control.voters:
+        yield ("control", "voters"), "is missing; it names the control hosts"
     known = {host.name, *(seed.name for seed in seeds)}
     for index, voter in enumerate(control.voters):
         if voter not in known:
--- a/tests/api/test_server.py
+++ b/tests/api/test_server.py
@@ -13,6 +13,7 @@
 import trustme
 
 from pepperstep.adapters.http_api import serve_api
+from pepperstep.configuration import Limits
 from pepperstep.errors import Code, Failure
 from pepperstep.settings import HostSettings, Settings, TlsSettings
 from tests.api.fake_node import ANSWER, CALLER_KEY, FakeNode
@@ -36,16 +37,18 @@
 
 
 @asynccontextmanager
-async def serving(node: FakeNode, port: int, tls: TlsSettings | None = None, **limits):
+async def serving(
+    node: FakeNode, port: int, tls: TlsSettings | None = None, application=None
+):
     """Serve a node, or `application`, until the block ends; yields its stop."""
-    application = limits.pop("application", None) or node.api()
+    application = application or node.api()
     stop = trio.Event()
     async with trio.open_nursery() as nursery:
         serve = partial(
             serve_api,
             application,
             settings_of(port, tls),
-            replace(node.configuration.limits, **limits),
+            lambda: node.configuration.limits,
             stop.wait,
         )
         await nursery.start(lambda task_status: serve(task_status=task_status))
@@ -118,10 +121,12 @@
         await stream.send_all(b"x" * 29_000_000)
 
 
-async def test_connections_are_limited(unused_tcp_port):
+async def test_connections_are_limited_as_configured_now(unused_tcp_port):
     url = f"http://127.0.0.1:{unused_tcp_port}/healthz"
     node = FakeNode()
-    async with serving(node, unused_tcp_port, max_connections=2):
+    async with serving(node, unused_tcp_port):
+        limits = replace(node.configuration.limits, max_connections=2)
+        node.store.current = replace(node.store.current, limits=limits)
         held = [await trio.open_tcp_stream("127.0.0.1", unused_tcp_port)]
         held.append(await trio.open_tcp_stream("127.0.0.1", unused_tcp_port))
         for stream in held:
@@ -214,6 +219,6 @@
             await serve_api(
                 FakeNode().api(),
                 settings_of(unused_tcp_port),
-                FakeNode().configuration.limits,
+                Limits,
                 trio.sleep_forever,
             )
--- a/tests/cli/test_settings.py
+++ b/tests/cli/test_settings.py
@@ -26,6 +26,8 @@
 def findings_of(folder: Path, table: dict) -> list[str]:
     """Return the findings in settings as PATH: TEXT."""
     path = folder / "settings.toml"
+    if "host" in table:
+        table = {"control": {"voters": ["entry-0"]}} | table
     path.write_text(tomli_w.dumps(table))
     try:
         read_settings(path)
@@ -55,10 +57,11 @@
             ["host.caller_address: is the address for peers"],
         ),
         ({"host": HOST | {"caller_url": "ftp://x"}}, ["host.caller_url"]),
+        ({"host": HOST, "control": {}}, ["control.voters: is missing"]),
         ({"host": HOST | {"roles": []}}, ["host.roles"]),
         ({"host": HOST | {"roles": ["king"]}}, ["host.roles[0]"]),
         (
-            {"host": HOST | {"roles": ["control"]}},
+            {"host": HOST | {"roles": ["control"]}, "control": {}},
             ["control.data_folder", "control.voters"],
         ),
         (
--- a/tests/cli/test_tool.py
+++ b/tests/cli/test_tool.py
@@ -10,7 +10,7 @@
 
 from pepperstep.adapters.http_api import serve_api
 from pepperstep.cli import Exit, main
-from pepperstep.configuration import ChangeAnswer, ChangeStatus
+from pepperstep.configuration import ChangeAnswer, ChangeStatus, Limits
 from pepperstep.errors import Code, Failure, Finding
 from pepperstep.observability import HostView, StepKind
 from tests.api.fake_node import BASE_TEXT, CALLER_KEY, OPERATOR_KEY, FakeNode
@@ -24,6 +24,8 @@
 site = "kitahara"
 peer_address = "127.0.0.1:7000"
 caller_address = "127.0.0.1:8080"
+[control]
+voters = ["entry-0"]
 """
 
 
@@ -50,10 +52,9 @@
         self.node = FakeNode(self._name)
         self._token = trio.lowlevel.current_trio_token()
         self._stop = trio.Event()
-        limits = self.node.configuration.limits
         async with trio.open_nursery() as nursery:
             serve = serve_api
-            arguments = (self.node.api(), settings_of(self.port), limits)
+            arguments = (self.node.api(), settings_of(self.port), Limits)
             await nursery.start(
                 lambda task_status: serve(*arguments, self._stop.wait, task_status)
             )
@@ -296,7 +297,9 @@
     ({"a.toml": "x = "}, ["is no TOML"]),
     (
         {
-            "a.toml": SETTINGS.replace("zone-a", "Z Z") + "other = 1\n",
+            "a.toml": SETTINGS.replace("zone-a", "Z Z").replace(
+                "[control]", "other = 1\n[control]"
+            ),
             "b.toml": BASE_TEXT + "[workspaces.bad]\nweight = 0\n",
             "c.toml": 'site = "nowhere"\n[callers.x]\nworkspace = "w"\n',
         },
