Segments of the log stand on their own

A segment now starts anew where entries before its base are overruled, and its header voids what comes after the base.

tests/consensus/test_files.py::test_overruled_before_the_segment fails without it (each case from the base's own position on).

--- a/src/pepperstep/consensus/forwarding.py
+++ b/src/pepperstep/consensus/forwarding.py
@@ -15,8 +15,9 @@
 __all__ = ["Forwarder", "new_proposal", "no_quorum"]
 
 _ID_BYTES = 16
-# Messages with proposals that are under way at once.
-_SENDERS = 4
+# Messages with proposals that are under way at once. Each waits at the leader
+# for its commits, and holds a thread of its server as long.
+_SENDERS = 2
 _BATCH_PROPOSALS = 512
 _BATCH_BYTES = 512 * 1024
 
--- a/src/pepperstep/consensus/replica.py
+++ b/src/pepperstep/consensus/replica.py
@@ -106,7 +106,8 @@
     def append(self, entries: list[pb.LogEntry]) -> None:
         """Add entries at the end of the log."""
         if entries:
-            self._writer.append(self.log.last_index + 1, entries)
+            log = self.log
+            self._writer.append(log.last_index + 1, log.last_term, entries)
             self.log.append(entries)
 
     def truncate_from(self, index: int) -> None:
--- a/src/pepperstep/consensus/store.py
+++ b/src/pepperstep/consensus/store.py
@@ -31,10 +31,14 @@
 
 @dataclass(slots=True)
 class _Segment:
-    """A file of entries; `last_index` is the highest that it ever had."""
+    """A file of entries after `base_index`.
+
+    `last_index` is the highest that it ever had.
+    """
 
     number: int
     size: int
+    base_index: int
     last_index: int
 
 
@@ -53,8 +57,6 @@
         self._snapshot_file = f"{group}-snapshot"
         self._segment_prefix = f"{group}-log-"
         self._segments: list[_Segment] = []
-        # Position and term of the last entry on disk.
-        self._last = (0, 0)
         self._snapshot_index = 0
         self._snapshot_lock = trio.Lock()
 
@@ -125,7 +127,6 @@
         if log.term_at(index) != term:
             log.reset(index, term)
             await self.reset(index, term)
-        self._last = (log.last_index, log.last_term)
         return log
 
     async def create_log(self) -> None:
@@ -134,24 +135,29 @@
             await self._storage.delete(name)
         await self._start_segment(1, pb.LogSegmentHeader())
 
-    async def append(self, first_index: int, entries: Sequence[pb.LogEntry]) -> None:
-        """Write entries as one frame; earlier ones from `first_index` are void."""
+    async def append(
+        self, first_index: int, previous_term: int, entries: Sequence[pb.LogEntry]
+    ) -> None:
+        """Write entries as one frame; earlier ones from `first_index` are void.
+
+        `previous_term` is the term of the entry before them.
+        """
         segment = self._segments[-1]
-        if segment.size >= self._segment_bytes:
-            index, term = self._last
-            header = pb.LogSegmentHeader(base_index=index, base_term=term)
+        base_index = first_index - 1
+        # A segment stands on its own, without entries before its base, since
+        # the segments before it may be gone.
+        if segment.size >= self._segment_bytes or base_index < segment.base_index:
+            header = pb.LogSegmentHeader(base_index=base_index, base_term=previous_term)
             segment = await self._start_segment(segment.number + 1, header)
         batch = pb.LogBatch(first_index=first_index, entries=entries)
         await self._write(segment, _Kind.BATCH, batch)
-        self._last = (first_index + len(entries) - 1, entries[-1].term)
-        segment.last_index = max(segment.last_index, self._last[0])
+        segment.last_index = max(segment.last_index, base_index + len(entries))
 
     async def reset(self, index: int, term: int) -> None:
         """Void all entries; the next one comes after `index`."""
         header = pb.LogSegmentHeader(base_index=index, base_term=term, is_reset=True)
         await self._start_segment(self._segments[-1].number + 1, header)
         await self._drop_segments(len(self._segments) - 1)
-        self._last = (index, term)
 
     async def trim(self, index: int) -> None:
         """Delete the segments with no entry after `index`."""
@@ -171,7 +177,7 @@
     async def _start_segment(
         self, number: int, header: pb.LogSegmentHeader
     ) -> _Segment:
-        segment = _Segment(number, 0, header.base_index)
+        segment = _Segment(number, 0, header.base_index, header.base_index)
         self._segments.append(segment)
         await self._write(segment, _Kind.HEADER, header)
         return segment
@@ -201,10 +207,9 @@
         size = frames[-1].end
         if size < len(data):
             await self._storage.truncate(name, size)
-        segment = _Segment(number, size, 0)
         _replay_header(name, frames[0], log, is_first=not self._segments)
+        segment = _Segment(number, size, log.last_index, log.last_index)
         self._segments.append(segment)
-        segment.last_index = log.last_index
         for frame in frames[1:]:
             _replay_batch(name, frame, log)
             segment.last_index = max(segment.last_index, log.last_index)
@@ -240,11 +245,12 @@
     if frame.kind != _Kind.HEADER:
         raise corruption(name, frame.offset, "The segment has no header.")
     header = _parse(pb.LogSegmentHeader, frame.payload, name, frame.offset)
-    if header.is_reset or is_first:
+    if header.is_reset or is_first or header.base_index < log.base_index:
         log.reset(header.base_index, header.base_term)
         return
-    if (log.last_index, log.last_term) != (header.base_index, header.base_term):
+    if log.term_at(header.base_index) != header.base_term:
         raise corruption(name, frame.offset, "Entries before the segment are missing.")
+    log.truncate_from(header.base_index + 1)
 
 
 def _replay_batch(name: str, frame: Frame, log: MemoryLog) -> None:
--- a/src/pepperstep/consensus/writer.py
+++ b/src/pepperstep/consensus/writer.py
@@ -14,6 +14,7 @@
 @dataclass(slots=True)
 class _Append:
     first_index: int
+    previous_term: int
     entries: list[pb.LogEntry]
 
     @property
@@ -59,13 +60,15 @@
         # Last entry on disk.
         self.synced_index = 0
 
-    def append(self, first_index: int, entries: list[pb.LogEntry]) -> None:
+    def append(
+        self, first_index: int, previous_term: int, entries: list[pb.LogEntry]
+    ) -> None:
         """Queue entries, which make those from `first_index` on void."""
         last = self._jobs[-1] if self._jobs else None
         if isinstance(last, _Append) and last.next_index == first_index:
             last.entries.extend(entries)
             return
-        self._put(_Append(first_index, list(entries)))
+        self._put(_Append(first_index, previous_term, list(entries)))
 
     def vote(self, term: int, voted_for: str) -> None:
         """Queue a new term or vote."""
@@ -109,7 +112,9 @@
     async def _write(self, job: _Job) -> None:
         match job:
             case _Append():
-                await self._store.append(job.first_index, job.entries)
+                await self._store.append(
+                    job.first_index, job.previous_term, job.entries
+                )
                 self.synced_index = job.next_index - 1
             case _Vote():
                 await self._store.save_vote(job.term, job.voted_for)
--- a/tests/consensus/test_files.py
+++ b/tests/consensus/test_files.py
@@ -7,6 +7,7 @@
 import trio.testing
 from hypothesis import example, given, settings, strategies as st
 
+from pepperstep.adapters.files import FolderStorage
 from pepperstep.consensus.frames import decode_single, encode_frame, scan_frames
 from pepperstep.consensus.store import LogStore
 from pepperstep.errors import Code, Failure
@@ -93,8 +94,8 @@
 class Files:
     """A store's files after some changes, and how to read them again."""
 
-    def __init__(self) -> None:
-        self.disk = FakeDisk()
+    def __init__(self, disk=None) -> None:
+        self.disk = disk or FakeDisk()
 
     async def fill(self) -> None:
         store = LogStore(self.disk, "g", segment_bytes=300)
@@ -102,8 +103,8 @@
         await store.save_vote(3, "d")
         await store.create_log()
         for index in range(1, 31):
-            await store.append(index, [_entry(1, index)])
-        await store.append(29, [_entry(2, 129), _entry(2, 130)])
+            await store.append(index, 1, [_entry(1, index)])
+        await store.append(29, 1, [_entry(2, 129), _entry(2, 130)])
         await store.save_snapshot(pb.LogSnapshot(index=20, term=1))
         await store.trim(12)
 
@@ -130,6 +131,14 @@
     assert len([name for name in await files.disk.names() if "-log-" in name]) == 3
 
 
+async def test_store_in_a_folder(tmp_path):
+    files, copy = Files(FolderStorage(tmp_path)), Files()
+    await files.fill()
+    await copy.fill()
+    assert await files.read() == await copy.read()
+    assert await files.disk.names() == await copy.disk.names()
+
+
 async def test_store_with_any_damage():
     files = Files()
     await files.fill()
@@ -191,10 +200,30 @@
     assert await files.read() == []
     store = LogStore(files.disk, "g", segment_bytes=300)
     await store.load_log(await store.load_snapshot())
-    await store.append(31, [_entry(3, 31)])
+    await store.append(31, 3, [_entry(3, 31)])
     assert await files.read() == [(3, b"c31")]
 
 
+@pytest.mark.parametrize("start", range(8, 24))
+@pytest.mark.parametrize("trim", [14, 18, 22])
+async def test_overruled_before_the_segment(start, trim):
+    """Entries are overruled from before a segment's base, then trimmed."""
+    disk = FakeDisk()
+    store = LogStore(disk, "g", segment_bytes=300)
+    await store.save_identity(pb.LogIdentityFile(disk_id="d", is_member=True))
+    await store.save_vote(3, "d")
+    await store.create_log()
+    for index in range(1, 25):
+        await store.append(index, 1, [_entry(1, index)])
+    for index in range(start, 30):
+        await store.append(index, 1 + (index > start), [_entry(2, index)])
+    await store.save_snapshot(pb.LogSnapshot(index=25, term=2))
+    await store.trim(trim)
+    entries = await Files(disk).read()
+    wanted = [(1 + (index >= start), b"c%d" % index) for index in range(trim + 1, 30)]
+    assert entries[-len(wanted) :] == wanted
+
+
 @pytest.mark.parametrize("torn_bytes", [0, 1, 30, 10_000])
 async def test_crash_at_each_write(autojump_clock, torn_bytes):
     """A host crashes before its n-th write from now on, for each n."""
--- a/tests/consensus/test_log.py
+++ b/tests/consensus/test_log.py
@@ -266,6 +266,28 @@
         assert each.apply(13, _proposal(13, known_index=12)).result == b"5:c13"
 
 
+async def test_resend_gets_first_answer(autojump_clock):
+    """After changes of leader, restarts, a snapshot and a lost disk."""
+    async with open_cluster() as cluster:
+        await cluster.start()
+        remote = await cluster.add_remote()
+        resend = remote._forwarder.propose
+        proposal = pb.LogProposal(id=b"once", name="ledger", command=b"x")
+        assert await resend(proposal, trio.current_time() + 20) == b"1:x"
+        for step in range(6):
+            await cluster.propose_many(30)
+            leader = await cluster.wait_leader()
+            if step == 4:
+                for name in cluster.names:
+                    cluster.crash(name)
+                await cluster.start()
+            else:
+                await cluster.restart(leader, is_disk_lost=step % 2 == 1)
+            await cluster.wait_until(cluster.is_redundant)
+            assert await resend(proposal, trio.current_time() + 20) == b"1:x"
+        await cluster.settle()
+
+
 async def test_stale_proposer(autojump_clock):
     tuning = Tuning(session_count=4)
     async with open_cluster(tuning=tuning) as cluster:
