--- a/src/pepperstep/cli/hosts.py
+++ b/src/pepperstep/cli/hosts.py
@@ -12,7 +12,7 @@
 from pepperstep.cli.options import Options
 from pepperstep.cli.printing import Output, moment
 from pepperstep.cli.server import Server
-from pepperstep.observability import StatusView
+from pepperstep.observability import StatusView, VoterView
 
 __all__ = ["drain", "events", "hosts", "status", "upstreams"]
 
@@ -110,6 +110,12 @@
     if view.is_redundant is not None:
         text = "may be lost without harm" if view.is_redundant else "must NOT be lost"
         yield f"One control host {text}."
+    # Only the leader knows how far the others are.
+    is_leader = view.leader == view.host
     for voter in view.voters:
-        age = "-" if voter.contact_age is None else f"{voter.contact_age:.1f} s ago"
-        yield f"  {voter.host}: {voter.role}, entry {voter.match_index}, seen {age}"
+        yield f"  {voter.host}: {voter.role}" + (_progress(voter) if is_leader else "")
+
+
+def _progress(voter: VoterView) -> str:
+    age = "-" if voter.contact_age is None else f"{voter.contact_age:.1f} s ago"
+    return f", entry {voter.match_index}, seen {age}"
--- a/tests/cli/test_tool.py
+++ b/tests/cli/test_tool.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import threading
+from dataclasses import replace
 from functools import partial
 
 import pytest
@@ -12,7 +13,7 @@
 from pepperstep.cli import Exit, main
 from pepperstep.configuration import ChangeAnswer, ChangeStatus, Limits
 from pepperstep.errors import Code, Failure, Finding
-from pepperstep.observability import HostView, StepKind
+from pepperstep.observability import HostView, StatusView, StepKind, VoterView
 from tests.api.fake_node import BASE_TEXT, CALLER_KEY, OPERATOR_KEY, FakeNode
 from tests.api.test_server import settings_of
 
@@ -119,6 +120,32 @@
     assert (code, member in json.loads(out), err) == (Exit.OK, True, "")
 
 
+@pytest.mark.parametrize(
+    ("leader", "is_redundant", "texts"),
+    [
+        ("entry-0", False, ["must NOT be lost", "entry-1: learner, entry 7, seen 0.5"]),
+        ("entry-0", True, ["may be lost without harm", "seen 0.5 s ago"]),
+        ("entry-1", None, ["entry-1 leads in term 4", "  entry-1: learner\n"]),
+        ("", None, ["no leader"]),
+    ],
+)
+def test_status_of_control_hosts(run, server, leader, is_redundant, texts):
+    voters = (VoterView("entry-1", "learner", 7, 0.5),)
+    view = replace(
+        StatusView("entry-0", "zone-a", "dosanko", "kitahara", 1),
+        leader=leader,
+        term=4,
+        is_redundant=is_redundant,
+        voters=voters,
+        reasons_not_ready=("No quorum.",),
+    )
+    server.node.status = lambda: view
+    _, out, _ = run("status")
+    for text in [*texts, "is not ready.\n  No quorum."]:
+        assert text in out
+    assert ("without harm" in out) is (is_redundant is True)
+
+
 def test_show_tells_origins_and_texts(run):
     _, out, _ = run("show")
     rows = {line.split()[0]: line.split()[1:] for line in out.splitlines()[2:]}
