Peers: one gRPC stream with frames in place of unary calls

Cause: each call between hosts was a unary call of gRPC, and several go out for each request; they were the largest part of its processor time by profile. Weighed: batching within each job, a protocol of our own on TCP, and one stream of frames for each pair of hosts. The stream serves all jobs, stays with the library, and coalesces what is due at the same time. Found by test: frames that arrive while the server stops raised inside trio; they are dropped now. Each stream costs two threads an end.

--- a/src/pepperstep/adapters/grpc_peers.py
+++ b/src/pepperstep/adapters/grpc_peers.py
@@ -1,26 +1,27 @@
-"""Peer network over gRPC: one unary method that carries envelopes.
-
-The trio loop never waits on gRPC: calls run as futures of the library, and
-the server's small thread pool hands each message to the loop.
-"""
+"""Peer network over gRPC: one stream of frames from each host to each other."""
 
+import threading
+from collections.abc import Iterator
 from concurrent import futures
 from dataclasses import dataclass
 
 import grpc
-import outcome
 import trio
 from absl import logging
 from google.protobuf.message import Message
 
+from pepperstep.adapters.peer_streams import FrameQueue, PeerStream
 from pepperstep.errors import Code, Failure
 from pepperstep.ports.peers import Handler
 from pepperstep.proto import codec
+from pepperstep.proto.envelope_pb2 import Frame, Frames
 
 __all__ = ["GrpcPeers", "PeerCredentials"]
 
-_METHOD = "/pepperstep.Peer/Call"
-_SERVER_THREADS = 8
+_SERVICE = "pepperstep.Peer"
+_METHOD = "Exchange"
+# Each stream that another host opens keeps one thread; threads start as needed.
+_MAX_STREAMS = 512
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 _OPTIONS = [
     ("grpc.max_receive_message_length", _MAX_MESSAGE_BYTES),
@@ -29,6 +30,11 @@
     # A host that returns must be reachable at once.
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 1000),
+    # A stream over a silent cut must break, not wait for the system's timeout.
+    ("grpc.keepalive_time_ms", 10_000),
+    ("grpc.keepalive_timeout_ms", 5_000),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
 ]
 
 
@@ -62,16 +68,20 @@
         self._credentials = credentials
         self._addresses: dict[str, str] = {}
         self._channels: dict[str, grpc.Channel] = {}
-        self._methods: dict[str, grpc.UnaryUnaryMultiCallable] = {}
+        self._streams: dict[str, PeerStream] = {}
         self._handlers: dict[type, Handler] = {}
         self._token: trio.lowlevel.TrioToken | None = None
+        self._nursery: trio.Nursery | None = None
+        self._is_serving = False
 
     def set_address(self, peer: str, address: str) -> None:
         """Say where `peer` listens."""
         if self._addresses.get(peer) == address:
             return
         self._addresses[peer] = address
-        self._methods.pop(peer, None)
+        stream = self._streams.pop(peer, None)
+        if stream is not None:
+            stream.close()
         channel = self._channels.pop(peer, None)
         if channel is not None:
             channel.close()
@@ -82,15 +92,8 @@
 
     async def call(self, peer: str, message: Message, timeout: float) -> Message:
         """Return the answer of `peer`, or raise `Failure`."""
-        method = self._method_to(peer)
-        data = codec.encode(message, self._name)
-        future = method.future(data, timeout=timeout, wait_for_ready=False)
-        try:
-            answer = await _wait(future)
-        except grpc.RpcError as error:
-            raise Failure(
-                Code.PEER_UNREACHABLE, f"{peer} doesn't answer: {error.code().name}."
-            ) from error
+        stream = self._stream_to(peer)
+        answer = await stream.call(codec.encode(message, self._name), timeout)
         return codec.decode(answer)[0]
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -99,24 +102,31 @@
         Raise OSError if the address is taken.
         """
         self._token = trio.lowlevel.current_trio_token()
-        server = grpc.server(
-            futures.ThreadPoolExecutor(_SERVER_THREADS, "peer"), options=_OPTIONS
-        )
-        method = grpc.unary_unary_rpc_method_handler(self._handle_in_thread)
-        service = grpc.method_handlers_generic_handler(
-            "pepperstep.Peer", {"Call": method}
-        )
-        server.add_generic_rpc_handlers((service,))
+        server = self._make_server()
         self._bind(server)
-        server.start()
-        task_status.started()
         try:
-            await trio.sleep_forever()
+            async with trio.open_nursery() as self._nursery:
+                self._is_serving = True
+                server.start()
+                task_status.started()
+                await trio.sleep_forever()
         finally:
+            self._is_serving = False
             server.stop(grace=0)
+            for stream in self._streams.values():
+                stream.close()
             for channel in self._channels.values():
                 channel.close()
 
+    def _make_server(self) -> grpc.Server:
+        server = grpc.server(
+            futures.ThreadPoolExecutor(_MAX_STREAMS, "peer"), options=_OPTIONS
+        )
+        method = grpc.stream_stream_rpc_method_handler(self._serve_stream)
+        service = grpc.method_handlers_generic_handler(_SERVICE, {_METHOD: method})
+        server.add_generic_rpc_handlers((service,))
+        return server
+
     def _bind(self, server: grpc.Server) -> None:
         try:
             if self._credentials is None:
@@ -126,15 +136,17 @@
         except RuntimeError as error:
             raise OSError(f"Can't listen on {self._address}.") from error
 
-    def _method_to(self, peer: str) -> grpc.UnaryUnaryMultiCallable:
-        if peer in self._methods:
-            return self._methods[peer]
+    def _stream_to(self, peer: str) -> PeerStream:
+        stream = self._streams.get(peer)
+        if stream is not None and not stream.is_broken:
+            return stream
         if peer not in self._addresses:
             raise Failure(Code.PEER_UNREACHABLE, f"{peer} has no known address.")
-        channel = self._open_channel(self._addresses[peer])
-        self._channels[peer] = channel
-        self._methods[peer] = channel.unary_unary(_METHOD)
-        return self._methods[peer]
+        if peer not in self._channels:
+            self._channels[peer] = self._open_channel(self._addresses[peer])
+        method = self._channels[peer].stream_stream(f"/{_SERVICE}/{_METHOD}")
+        self._streams[peer] = PeerStream(peer, method)
+        return self._streams[peer]
 
     def _open_channel(self, address: str) -> grpc.Channel:
         if self._credentials is None:
@@ -143,13 +155,35 @@
             address, self._credentials.for_channel(), options=_OPTIONS
         )
 
-    def _handle_in_thread(self, data: bytes, context: grpc.ServicerContext) -> bytes:
+    def _serve_stream(
+        self, requests: Iterator[bytes], context: grpc.ServicerContext
+    ) -> Iterator[bytes]:
+        """Answer the frames of one stream, in a thread of the server."""
+        answers = FrameQueue()
+        threading.Thread(
+            target=self._read_requests, args=(requests, answers), daemon=True
+        ).start()
+        return answers.batches()
+
+    def _read_requests(self, requests: Iterator[bytes], answers: FrameQueue) -> None:
         try:
-            return trio.from_thread.run(
-                self._handle_message, data, trio_token=self._token
-            )
-        except (trio.RunFinishedError, trio.Cancelled):
-            context.abort(grpc.StatusCode.UNAVAILABLE, "The host stops.")
+            for data in requests:
+                frames = Frames.FromString(data).frames
+                self._token.run_sync_soon(self._start_handlers, frames, answers)
+        except Exception:
+            # gRPC raises a bare Exception when a stream is cut.
+            logging.info("peers: A stream ended.")
+        answers.close()
+
+    def _start_handlers(self, frames: list[Frame], answers: FrameQueue) -> None:
+        if not self._is_serving:
+            return
+        for frame in frames:
+            self._nursery.start_soon(self._answer, frame, answers)
+
+    async def _answer(self, frame: Frame, answers: FrameQueue) -> None:
+        answer = await self._handle_message(frame.envelope)
+        answers.put(Frame(call=frame.call, envelope=answer))
 
     async def _handle_message(self, data: bytes) -> bytes:
         try:
@@ -167,32 +201,3 @@
             failure = Failure(Code.INTERNAL, "The handler failed.")
             return codec.encode_failure(failure, self._name)
         return codec.encode(answer, self._name)
-
-
-async def _wait(future: grpc.Future) -> bytes:
-    """Wait in trio for a future of gRPC, which is cancelled with the task."""
-    task = trio.lowlevel.current_task()
-    token = trio.lowlevel.current_trio_token()
-    is_woken = False
-
-    def wake() -> None:
-        nonlocal is_woken
-        if not is_woken:
-            is_woken = True
-            trio.lowlevel.reschedule(task, outcome.Value(None))
-
-    def on_done(_: grpc.Future) -> None:
-        try:
-            token.run_sync_soon(wake)
-        except trio.RunFinishedError:
-            return
-
-    def abort(_) -> trio.lowlevel.Abort:
-        nonlocal is_woken
-        is_woken = True
-        future.cancel()
-        return trio.lowlevel.Abort.SUCCEEDED
-
-    future.add_done_callback(on_done)
-    await trio.lowlevel.wait_task_rescheduled(abort)
-    return future.result()
--- /dev/null
+++ b/src/pepperstep/adapters/peer_streams.py
@@ -0,0 +1,133 @@
+"""Calls to one peer over one gRPC stream, with many calls under way at a time.
+
+A stream costs a fraction of a unary call for each message, and what is due at
+the same time goes out together. Threads of their own wait on gRPC; the trio
+loop never does.
+"""
+
+import itertools
+import queue
+import threading
+from collections.abc import Callable, Iterable, Iterator
+
+import grpc
+import trio
+
+from pepperstep.errors import Code, Failure
+from pepperstep.proto.envelope_pb2 import Frame, Frames
+
+__all__ = ["FrameQueue", "PeerStream"]
+
+_MAX_BATCH_BYTES = 1024 * 1024
+
+
+class FrameQueue:
+    """Frames that wait to be sent by a thread; `close` ends the sending."""
+
+    def __init__(self) -> None:
+        self._queue: queue.SimpleQueue[Frame | None] = queue.SimpleQueue()
+
+    def put(self, frame: Frame) -> None:
+        """Send a frame."""
+        self._queue.put(frame)
+
+    def close(self) -> None:
+        """End the sending."""
+        self._queue.put(None)
+
+    def batches(self) -> Iterator[bytes]:
+        """Yield what is due, as encoded `Frames`; wait while there is nothing."""
+        while True:
+            frame = self._queue.get()
+            frames = []
+            size = 0
+            while frame is not None:
+                frames.append(frame)
+                size += len(frame.envelope)
+                if size > _MAX_BATCH_BYTES or self._queue.empty():
+                    break
+                frame = self._queue.get()
+            if frames:
+                yield Frames(frames=frames).SerializeToString()
+            if frame is None:
+                return
+
+
+class _Pending:
+    """A call without an answer yet."""
+
+    def __init__(self) -> None:
+        self.done = trio.Event()
+        self.answer: bytes | None = None
+        self.error = ""
+
+
+class PeerStream:
+    """One stream to a peer; once broken it fails all its calls and stays so."""
+
+    def __init__(self, peer: str, method: grpc.StreamStreamMultiCallable):
+        self._peer = peer
+        self._token = trio.lowlevel.current_trio_token()
+        self._numbers = itertools.count(1)
+        self._pending: dict[int, _Pending] = {}
+        self._frames = FrameQueue()
+        self.is_broken = False
+        self._call = method(self._frames.batches())
+        threading.Thread(target=self._read, name=f"to-{peer}", daemon=True).start()
+
+    async def call(self, data: bytes, timeout: float) -> bytes:
+        """Return the peer's answer.
+
+        Raise `Failure` with `PEER_UNREACHABLE` after `timeout` seconds, or when
+        the stream breaks.
+        """
+        number = next(self._numbers)
+        pending = _Pending()
+        self._pending[number] = pending
+        self._frames.put(Frame(call=number, envelope=data))
+        try:
+            with trio.move_on_after(timeout):
+                await pending.done.wait()
+        finally:
+            self._pending.pop(number, None)
+        if pending.answer is None:
+            reason = pending.error or "no answer in time"
+            raise Failure(
+                Code.PEER_UNREACHABLE, f"{self._peer} doesn't answer: {reason}."
+            )
+        return pending.answer
+
+    def close(self) -> None:
+        """End the stream; its calls fail."""
+        self._frames.close()
+        self._call.cancel()
+        self._break("the connection was closed")
+
+    def _read(self) -> None:
+        reason = "the stream ended"
+        try:
+            for data in self._call:
+                self._run_in_loop(self._take, Frames.FromString(data).frames)
+        except grpc.RpcError as error:
+            reason = error.code().name
+        self._frames.close()
+        self._run_in_loop(self._break, reason)
+
+    def _run_in_loop(self, function: Callable, argument: object) -> None:
+        try:
+            self._token.run_sync_soon(function, argument)
+        except trio.RunFinishedError:
+            return
+
+    def _take(self, frames: Iterable[Frame]) -> None:
+        for frame in frames:
+            pending = self._pending.get(frame.call)
+            if pending is not None:
+                pending.answer = frame.envelope
+                pending.done.set()
+
+    def _break(self, reason: str) -> None:
+        self.is_broken = True
+        for pending in self._pending.values():
+            pending.error = reason
+            pending.done.set()
--- /dev/null
+++ b/tests/adapters/test_grpc_peers.py
@@ -0,0 +1,88 @@
+"""Peer network over real sockets of this machine."""
+
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+
+from demo.launcher import free_ports
+from pepperstep.adapters.grpc_peers import GrpcPeers
+from pepperstep.errors import Code, Failure
+from pepperstep.proto.journal_pb2 import CancelDone, CancelRequest
+
+LONG = 20.0
+
+
+@asynccontextmanager
+async def serving(name: str, port: int):
+    peers = GrpcPeers(name, f"127.0.0.1:{port}")
+    async with trio.open_nursery() as nursery:
+        await nursery.start(peers.serve)
+        yield peers
+        nursery.cancel_scope.cancel()
+
+
+async def answer(message: CancelRequest, sender: str) -> CancelDone:
+    if message.request_id == "wait":
+        await trio.sleep_forever()
+    if message.request_id == "refuse":
+        raise Failure(Code.FENCED, "No.")
+    if message.request_id == "break":
+        raise ZeroDivisionError
+    return CancelDone(is_found=message.request_id == sender)
+
+
+@pytest.mark.parametrize(
+    ("request_id", "timeout", "code"),
+    [
+        ("refuse", LONG, Code.FENCED),
+        ("break", LONG, Code.INTERNAL),
+        ("wait", 0.05, Code.PEER_UNREACHABLE),
+    ],
+)
+async def test_failures_have_codes(request_id, timeout, code):
+    one, two = free_ports(2)
+    async with serving("one", one) as first, serving("two", two) as second:
+        second.handle(CancelRequest, answer)
+        first.set_address("two", f"127.0.0.1:{two}")
+        with pytest.raises(Failure) as raised:
+            await first.call("two", CancelRequest(request_id=request_id), timeout)
+    assert raised.value.code == code
+
+
+async def test_a_slow_handler_holds_nobody_up():
+    one, two = free_ports(2)
+    async with serving("one", one) as first, serving("two", two) as second:
+        second.handle(CancelRequest, answer)
+        first.set_address("two", f"127.0.0.1:{two}")
+        async with trio.open_nursery() as nursery:
+            waiting = CancelRequest(request_id="wait")
+            nursery.start_soon(first.call, "two", waiting, LONG)
+            for _ in range(100):
+                done = await first.call("two", CancelRequest(request_id="one"), LONG)
+                assert done.is_found
+            nursery.cancel_scope.cancel()
+
+
+async def test_calls_work_again_after_the_peer_started_again():
+    one, two = free_ports(2)
+    message = CancelRequest(request_id="one")
+    async with serving("one", one) as first:
+        first.set_address("two", f"127.0.0.1:{two}")
+        with pytest.raises(Failure):
+            await first.call("two", message, LONG)
+        for _ in range(2):
+            async with serving("two", two) as second:
+                second.handle(CancelRequest, answer)
+                while not await _is_answered(first, message):
+                    await trio.sleep(0.01)
+            with pytest.raises(Failure):
+                while True:
+                    await first.call("two", message, LONG)
+
+
+async def _is_answered(peers: GrpcPeers, message: CancelRequest) -> bool:
+    try:
+        return (await peers.call("two", message, LONG)).is_found
+    except Failure:
+        return False
