Whole hosts in one process, in virtual time

Cause: proofs and measurements need the composed host, not only its parts. Weighed: a cluster simulator against the daemon's own composition on the fakes that exist; the latter is small and tests what runs. Measured: 5 cases (no fault, owner, leader or engine killed in mid-stream, owner drained) answer whole in virtual time. Conclusion: FakeHosts serves the fault matrix and the measuring tool.

--- /dev/null
+++ b/src/pepperstep/fakes/hosts.py
@@ -0,0 +1,254 @@
+"""Whole hosts in one process, on fakes of all that is outside."""
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
+
+import tomli_w
+import trio
+
+from pepperstep.configuration import BASE, Change, hash_key
+from pepperstep.entities import Outcome, Priority, Request, RequestKind
+from pepperstep.errors import Failure
+from pepperstep.fakes.network import FakeNetwork, FakePeers
+from pepperstep.fakes.storage import FakeDisk
+from pepperstep.fakes.timers import FakeTimers
+from pepperstep.fakes.upstreams import FakeUpstreams
+from pepperstep.node import Node, Ports
+from pepperstep.ports import Cloud
+from pepperstep.settings import (
+    ControlSettings,
+    HostSettings,
+    RequestSettings,
+    Seed,
+    Settings,
+)
+
+__all__ = ["FakeHost", "FakeHosts", "HostPlace"]
+
+_HEARTBEAT_SECONDS = 1.0
+_CHANGE_SECONDS = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class HostPlace:
+    """Where a host stands."""
+
+    name: str
+    zone: str
+    region: str
+    site: str
+    is_control: bool = False
+
+
+@dataclass(slots=True)
+class FakeHost:
+    """One life of a host."""
+
+    node: Node
+    timers: FakeTimers
+    scope: trio.CancelScope
+
+
+class FakeHosts:
+    """Hosts that share a network, upstreams and a cloud."""
+
+    def __init__(
+        self,
+        places: list[HostPlace],
+        upstreams: FakeUpstreams,
+        base: dict,
+        *,
+        cloud: Cloud | None = None,
+        seed: int = 1,
+    ):
+        self.places = {place.name: place for place in places}
+        self.upstreams = upstreams
+        self.network = FakeNetwork(random.Random(seed))
+        self.disks = {place.name: FakeDisk() for place in places if place.is_control}
+        self.hosts: dict[str, FakeHost] = {}
+        self._base = base
+        self._cloud = cloud
+        self._rng = random.Random(seed + 1)
+        self._nursery: trio.Nursery | None = None
+        self._sequence = 0
+
+    @classmethod
+    @asynccontextmanager
+    async def start(cls, *args, **options) -> AsyncIterator["FakeHosts"]:
+        """Run all hosts until the block ends; they are ready at its start."""
+        hosts = cls(*args, **options)
+        async with trio.open_nursery() as hosts._nursery:
+            for name in hosts.places:
+                await hosts.start_host(name)
+            hosts._nursery.start_soon(hosts._announce_always)
+            await hosts._propose_base()
+            await hosts.wait_ready()
+            yield hosts
+            hosts._nursery.cancel_scope.cancel()
+
+    async def start_host(self, name: str) -> None:
+        """Start a life of a host."""
+        await self._nursery.start(self._run_host, name)
+
+    def crash(self, name: str, torn_bytes: int = 0, is_disk_lost: bool = False) -> None:
+        """End a host's life without notice."""
+        self.network.detach(name)
+        self.hosts.pop(name).scope.cancel()
+        disk = self.disks.get(name)
+        if disk is not None:
+            disk.crash(torn_bytes)
+            if is_disk_lost:
+                disk.lose()
+
+    async def drain(self, name: str) -> None:
+        """Let a host leave, then end its life."""
+        node = self.hosts[name].node
+        node.start_drain()
+        await node.drain()
+        await node.depart()
+        self.crash(name)
+
+    def pause(self, name: str) -> None:
+        """Freeze a host's process."""
+        self.hosts[name].timers.pause()
+
+    def resume(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self.hosts[name].timers.resume()
+
+    @property
+    def leader(self) -> str:
+        """Name of the control host that leads, "" for none."""
+        for name, host in self.hosts.items():
+            if host.node.agreement.is_leader:
+                return name
+        return ""
+
+    async def wait_ready(self) -> None:
+        """Return when all hosts that run are ready."""
+        while any(host.node.reasons_not_ready() for host in self.hosts.values()):
+            await trio.sleep(0.05)
+
+    async def change(self, host: str, change: Change):
+        """Send an operator's change to a host and return its answer."""
+        return await self.hosts[host].node.store.apply_change(change, _CHANGE_SECONDS)
+
+    def request(self, host: str, number: int = 0, **changes) -> Request:
+        """Return a request to be submitted at `host`."""
+        node = self.hosts[host].node
+        target, deployment = next(iter(node.configuration.deployments.items()))
+        values = {
+            "id": f"{host}.{number}",
+            "workspace": deployment.workspaces[0],
+            "kind": RequestKind.CHAT,
+            "target": target,
+            "priority": Priority.INTERACTIVE,
+            "deadline": node.timers.wall() + 300,
+            "model_key": deployment.model_key,
+            "prompt": f"Seat the guests of table {number}.",
+            "max_tokens": 50,
+            "seed": number,
+        }
+        return Request(**(values | changes))
+
+    async def read(
+        self,
+        host: str,
+        request_id: str,
+        workspace: str,
+        position: int = 0,
+        limit: int | None = None,
+    ) -> tuple[list[str], Outcome | None]:
+        """Read an answer at `host` to its end, or up to `limit` tokens."""
+        tokens: list[str] = []
+        parts = self.hosts[host].node.requests.read(request_id, workspace, position)
+        try:
+            async for part in parts:
+                tokens += part.tokens
+                if part.outcome is not None:
+                    return tokens, part.outcome
+                if limit is not None and len(tokens) >= limit:
+                    return tokens, None
+        finally:
+            await parts.aclose()
+        raise AssertionError("The answer has no end.")
+
+    async def _run_host(self, name: str, task_status) -> None:
+        async with trio.open_nursery() as nursery:
+            rng = random.Random(self._rng.random())
+            timers = FakeTimers(rng)
+            peers = FakePeers(name, self.network, timers, nursery)
+            node = Node(
+                self._settings_of(self.places[name]),
+                Ports(
+                    timers,
+                    peers,
+                    self.upstreams,
+                    rng,
+                    self.disks.get(name),
+                    self._cloud,
+                ),
+            )
+            self.hosts[name] = FakeHost(node, timers, nursery.cancel_scope)
+            await nursery.start(node.run)
+            task_status.started()
+
+    def _settings_of(self, place: HostPlace) -> Settings:
+        names = list(self.places)
+        return Settings(
+            host=HostSettings(
+                name=place.name,
+                zone=place.zone,
+                region=place.region,
+                site=place.site,
+                peer_address=f"{place.name}:1",
+                caller_address=f"{place.name}:2",
+                roles=("entry", "control") if place.is_control else ("entry",),
+            ),
+            seeds=tuple(
+                Seed(each, f"{each}:1") for each in names if each != place.name
+            ),
+            control=ControlSettings(
+                voters=tuple(p.name for p in self.places.values() if p.is_control),
+                data_folder="data" if place.is_control else "",
+            ),
+            requests=RequestSettings(drain_seconds=20.0),
+        )
+
+    async def _propose_base(self) -> None:
+        base = {
+            **self._base,
+            "operators": {
+                "root": {"key_sha256": hash_key("root"), "may_change_base": True},
+                **self._base.get("operators", {}),
+            },
+        }
+        change = Change("first-base", BASE, tomli_w.dumps(base), 0, "root", "")
+        while True:
+            try:
+                answer = await self.change(next(iter(self.hosts)), change)
+            except Failure:
+                continue
+            assert answer.is_accepted, answer
+            return
+
+    async def _announce_always(self) -> None:
+        """Renew each living upstream's lease at an entry host, once a second."""
+        while True:
+            for each in list(self.upstreams.all.values()):
+                if each.is_alive and self.hosts:
+                    self._announce(each)
+            await trio.sleep(_HEARTBEAT_SECONDS)
+
+    def _announce(self, each) -> None:
+        self._sequence += 1
+        running = [h for h in self.hosts.values() if not h.timers.is_paused]
+        if not running:
+            return
+        host = self._rng.choice(running)
+        upstream = each.upstream
+        if hasattr(each, "load"):
+            upstream = replace(upstream, load=each.load)
+        host.node.registry.announce(upstream, self._sequence)
--- /dev/null
+++ b/tests/whole/test_whole_hosts.py
@@ -0,0 +1,56 @@
+"""Whole hosts serve requests through failures of hosts and upstreams."""
+
+import pytest
+import trio
+
+from pepperstep.entities import ModelKey
+from pepperstep.fakes import FakeEngine, FakeUpstreams, answer_of
+from pepperstep.fakes.hosts import FakeHosts, HostPlace
+
+KEY = ModelKey("zaseki-7b", "", "1")
+ZONES = ("sapporo-hall", "asahikawa-hall", "hakodate-hall")
+BASE = {
+    "sites": {"kitahara": {"regions": ["dosanko"]}},
+    "limits": {"entry_hosts_seconds": 1.0},
+    "workspaces": {"planners": {}},
+    "deployments": {
+        "zaseki-model": {
+            "model": "zaseki-7b",
+            "version": "1",
+            "workspaces": ["planners"],
+        }
+    },
+}
+
+
+def start_hosts(count: int = 6):
+    places = [
+        HostPlace(f"entry-{n}", ZONES[n % 3], "dosanko", "kitahara", n < 3)
+        for n in range(count)
+    ]
+    engines = [
+        FakeEngine(f"engine-{n}", ZONES[n % 3], KEY, region="dosanko") for n in range(6)
+    ]
+    return FakeHosts.start(places, FakeUpstreams(engines), BASE)
+
+
+@pytest.mark.parametrize("fault", ["none", "owner", "leader", "engine", "drain"])
+async def test_answer_is_whole(fault, autojump_clock):
+    async with start_hosts() as hosts:
+        await trio.sleep(2)
+        request = hosts.request("entry-4")
+        run = await hosts.hosts["entry-4"].node.requests.submit(request)
+        before, _ = await hosts.read("entry-4", run.id, "planners", limit=5)
+        reader = "entry-5"
+        if fault == "owner":
+            hosts.crash("entry-4")
+        elif fault == "leader":
+            hosts.crash(hosts.leader)
+        elif fault == "engine":
+            busy = [e for e in hosts.upstreams.engines if e.load.running]
+            busy[0].die()
+        elif fault == "drain":
+            await hosts.drain("entry-4")
+        after, outcome = await hosts.read(reader, run.id, "planners", len(before))
+    assert before + after == answer_of(request)
+    assert outcome.is_answered
