A host's policies can be chosen for comparisons

Routing, moves, the guard against crashing requests and the fleet's policy each have baselines, but a whole host always ran the usual ones. Node takes a Policies data class beside its ports; the fake hosts pass it on, and leave the announcing of upstreams to the caller where that decides how late load is reported.

--- a/src/pepperstep/fakes/hosts.py
+++ b/src/pepperstep/fakes/hosts.py
@@ -15,7 +15,7 @@
 from pepperstep.fakes.storage import FakeDisk
 from pepperstep.fakes.timers import FakeTimers
 from pepperstep.fakes.upstreams import FakeUpstreams
-from pepperstep.node import Node, Ports
+from pepperstep.node import Node, Policies, Ports
 from pepperstep.ports import Cloud
 from pepperstep.settings import (
     ControlSettings,
@@ -62,6 +62,8 @@
         *,
         cloud: Cloud | None = None,
         seed: int = 1,
+        policies: Policies | None = None,
+        is_announcing: bool = True,
     ):
         self.places = {place.name: place for place in places}
         self.upstreams = upstreams
@@ -70,6 +72,9 @@
         self.hosts: dict[str, FakeHost] = {}
         self._base = base
         self._cloud = cloud
+        self._policies = policies
+        # False where the caller announces the upstreams itself.
+        self._is_announcing = is_announcing
         self._rng = random.Random(seed + 1)
         self._nursery: trio.Nursery | None = None
         self._sequence = 0
@@ -82,7 +87,8 @@
         async with trio.open_nursery() as hosts._nursery:
             for name in hosts.places:
                 await hosts.start_host(name)
-            hosts._nursery.start_soon(hosts._announce_always)
+            if hosts._is_announcing:
+                hosts._nursery.start_soon(hosts._announce_always)
             await hosts._propose_base()
             await hosts.wait_ready()
             yield hosts
@@ -190,6 +196,7 @@
                     self.disks.get(name),
                     self._cloud,
                 ),
+                self._policies,
             )
             self.hosts[name] = FakeHost(node, timers, nursery.cancel_scope)
             await nursery.start(node.run)
--- a/src/pepperstep/node.py
+++ b/src/pepperstep/node.py
@@ -32,10 +32,11 @@
     Recovery,
     RequestService,
 )
-from pepperstep.routing import Router
+from pepperstep.requests.mover import MoveSettings
+from pepperstep.routing import Router, RoutingSettings
 from pepperstep.settings import Settings
 
-__all__ = ["Node", "Ports"]
+__all__ = ["Node", "Policies", "Ports"]
 
 _JOIN_SECONDS = 2.0
 _RETRY_SECONDS = 0.5
@@ -59,10 +60,24 @@
     weights: WeightStore | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Policies:
+    """Policies in place of the usual ones, for comparisons."""
+
+    routing: RoutingSettings | None = None
+    moves: MoveSettings | None = None
+    # Whether requests that crash upstreams are convicted.
+    is_guarded: bool = True
+    # A name in `pepperstep.fleet.policies.POLICIES`.
+    fleet: str = "planned"
+
+
 class Node:
     """A host with its parts, which run until it's cancelled or has drained."""
 
-    def __init__(self, settings: Settings, ports: Ports):
+    def __init__(
+        self, settings: Settings, ports: Ports, policies: Policies | None = None
+    ):
         self.host = settings.to_host()
         self.timers = ports.timers
         self.metrics = Metrics()
@@ -70,6 +85,7 @@
         self.explanations = Explanations(self.host.name, ports.timers)
         self._settings = settings
         self._ports = ports
+        self._policies = policies or Policies()
         self._drain_asked = trio.Event()
         incarnation = int(ports.timers.wall() * 1000)
         self.directory = Membership.from_config(
@@ -103,10 +119,13 @@
             ports.upstreams,
             ports.rng,
             view=self.registry,
+            settings=self._policies.moves,
+            is_guarded=self._policies.is_guarded,
         )
         self.router = self._make_router()
         self.requests = self._make_requests(incarnation)
         self._fleet = self._make_fleet()
+        self._watch_gauges()
         self.operations = Operations(
             self.host,
             ports.peers,
@@ -220,6 +239,7 @@
         return Router(
             self._recovery.moves,
             self._ports.timers,
+            settings=self._policies.routing,
             rng=self._ports.rng,
             configuration=lambda: self.configuration,
             zone=self.host.zone,
@@ -259,7 +279,18 @@
             self._ports.rng,
             self._ports.weights,
         )
-        return Fleet.from_config(ports, lambda: self.configuration, self._reclaim)
+        return Fleet.from_config(
+            ports,
+            lambda: self.configuration,
+            self._reclaim,
+            policy=self._policies.fleet,
+        )
+
+    def _watch_gauges(self) -> None:
+        watch = self.metrics.watch
+        watch("revision", "Revision in force.", lambda: self.store.revision)
+        watch("is_leader", "1 on the leader.", lambda: self.agreement.is_leader)
+        watch("in_flight", "Requests owned.", lambda: self.requests.running)
 
     async def _reclaim(self, notices: list[ReclaimNotice]) -> None:
         """Tell all entry hosts of hosts that the cloud takes back."""
