Claims: a request's later owner claims in place of the earlier one

A host that has taken a request over could only find the claim of the host before it, which could still free the key by a late end. A claim carries the request's epoch now; an open claim of the same request and a lower epoch gives way to it and leaves its id behind, so that nothing late revives or frees it. Ruled out: going on under the earlier owner's claim, as its late NOT_RUN frees the key while the later owner sends.

--- a/src/pepperstep/claims/client.py
+++ b/src/pepperstep/claims/client.py
@@ -100,16 +100,20 @@
         request_id: str,
         fingerprint: str,
         timeout: float,
+        epoch: int = 1,
     ) -> ClaimAnswer:
         """Return whether this host may send the request, once that's committed.
 
+        A host that has taken a request over claims it anew with a higher `epoch`,
+        which ends the open claim of the host before it.
+
         Who gets a grant must end it by `finish`, with `NOT_RUN` if it sends
         nothing. Raise `Failure`, after which the request must not be sent and
         did not run: with `NO_QUORUM` after `timeout` seconds, with `FENCED`,
         with `OVERLOADED` if no more claims can be kept.
         """
         pending = _PendingClaim(
-            self._new_claim(workspace, key, request_id, fingerprint)
+            self._new_claim(workspace, key, request_id, fingerprint, epoch)
         )
         self._claims[pending.claim.claim_id] = pending
         self._arrived.set()
@@ -186,7 +190,7 @@
             self._claims.pop(pending.claim.claim_id, None)
 
     def _new_claim(
-        self, workspace: str, key: str, request_id: str, fingerprint: str
+        self, workspace: str, key: str, request_id: str, fingerprint: str, epoch: int
     ) -> Claim:
         owner = self._identity()
         if not owner.incarnation:
@@ -203,6 +207,7 @@
             fingerprint=fingerprint,
             claimed_at=now,
             expires_at=now + self._claim_seconds(),
+            epoch=epoch,
         )
 
     def _give_up(self, pending: _PendingClaim) -> None:
--- a/src/pepperstep/claims/machine.py
+++ b/src/pepperstep/claims/machine.py
@@ -111,10 +111,14 @@
             return ClaimResult(status=ClaimStatus.CONFLICT, record=holder)
         if holder.claim_id == record.claim_id and not holder.HasField("outcome"):
             return self._grant(record)
+        if _succeeds(record, holder) and not self._is_fenced(record):
+            del self._claims[record.workspace, record.key]
+            self._release(holder.claim_id, holder.expires_at)
+            return self._grant(record)
         return ClaimResult(status=ClaimStatus.HELD, record=holder)
 
     def _grant(self, record: ClaimRecord) -> ClaimResult:
-        if self._fences.is_fenced(record.owner, record.incarnation):
+        if self._is_fenced(record):
             return ClaimResult(status=ClaimStatus.FENCED)
         key = (record.workspace, record.key)
         if key not in self._claims:
@@ -123,6 +127,9 @@
             self._keep(record)
         return ClaimResult(status=ClaimStatus.GRANTED, record=self._claims[key])
 
+    def _is_fenced(self, record: ClaimRecord) -> bool:
+        return self._fences.is_fenced(record.owner, record.incarnation)
+
     def _finish(self, finish: FinishClaim) -> None:
         if finish.expires_at <= self._clock:
             return
@@ -162,6 +169,13 @@
             self._released.pop(claim_id, None)
 
 
+def _succeeds(record: ClaimRecord, holder: ClaimRecord) -> bool:
+    """Whether a later owner of the holder's request claims in its place."""
+    is_same = record.request_id == holder.request_id
+    is_open = not holder.HasField("outcome")
+    return is_same and is_open and record.epoch > holder.epoch
+
+
 def _is_undecided(record: ClaimRecord) -> bool:
     """Whether an outcome may still be recorded: there is none, or a doubt."""
     is_open = not record.HasField("outcome")
--- a/src/pepperstep/claims/records.py
+++ b/src/pepperstep/claims/records.py
@@ -105,6 +105,8 @@
     expires_at: float
     # None while it's open.
     outcome: ClaimOutcome | None = None
+    # Grows by one each time that another host takes the request over.
+    epoch: int = 1
 
     @classmethod
     def from_record(cls, record: claims_pb2.ClaimRecord) -> "Claim":
@@ -123,6 +125,7 @@
             claimed_at=record.claimed_at,
             expires_at=record.expires_at,
             outcome=outcome,
+            epoch=record.epoch,
         )
 
     def to_record(self) -> claims_pb2.ClaimRecord:
@@ -137,6 +140,7 @@
             fingerprint=self.fingerprint,
             claimed_at=self.claimed_at,
             expires_at=self.expires_at,
+            epoch=self.epoch,
         )
 
 
