--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -224,6 +224,7 @@
         self.network.max_delay = self.network.min_delay
         for host in self.hosts.values():
             host.disk.before = lambda operation, file: None
+            host.life.delay = LifeDisk.delay
             host.timers.resume()
             if not host.is_up:
                 await self.start(host.name)
--- a/tests/consensus/test_schedules.py
+++ b/tests/consensus/test_schedules.py
@@ -20,6 +20,7 @@
     st.tuples(st.just("pause"), PLACES, st.just(0)),
     st.tuples(st.just("resume"), PLACES, st.just(0)),
     st.tuples(st.just("trouble"), st.integers(0, 3), st.integers(0, 3)),
+    st.tuples(st.just("slow_disk"), PLACES, st.integers(0, 3)),
     st.tuples(st.just("repeat_late"), st.just(0), st.integers(0, 99)),
     st.tuples(st.just("wait"), st.just(0), st.integers(1, 40)),
 )
@@ -88,6 +89,10 @@
         network.duplication = (0.0, 0.1, 0.3, 0.5)[number]
         network.max_delay = (0.0005, 0.005, 0.05, 0.3)[number]
 
+    async def _slow_disk(self, name: str, number: int) -> None:
+        life = self._cluster.hosts[name].life
+        life.delay = (0.001, 0.05, 0.4, 2.0)[number]
+
     async def _repeat_late(self, name: str, number: int) -> None:
         self._cluster.repeat_late(number)
 
