--- a/src/pepperstep/fleet/notices.py
+++ b/src/pepperstep/fleet/notices.py
@@ -67,8 +67,13 @@
         if not waiting or not self._record.is_valid:
             return
         logging.info("fleet: Hands on %d reclaim notices.", len(waiting))
-        await self._on_reclaim(waiting)
-        await self._record.commit(handed_notices=[notice.id for notice in waiting])
+        is_handed = False
+        with self._timers.move_on_after(self._tuning.hand_on_timeout):
+            await self._on_reclaim(waiting)
+            is_handed = True
+        if is_handed:
+            ids = [notice.id for notice in waiting]
+            await self._record.commit(handed_notices=ids)
 
     def _marks(self, machine: OrderMachine, notices: list[ReclaimNotice]) -> list[Mark]:
         offers = {act.host_id: act.offer for act in machine.hosts()}
--- a/src/pepperstep/fleet/tuning.py
+++ b/src/pepperstep/fleet/tuning.py
@@ -12,6 +12,8 @@
     # Between two decisions, and between two polls of reclaim notices.
     period: float = 5.0
     notice_period: float = 1.0
+    # Longest time that reclaim notices take to be handed on.
+    hand_on_timeout: float = 5.0
     # Longest wait for a commit.
     commit_timeout: float = 3.0
     # Longest lease of an earlier leader.
--- a/tests/fleet/site.py
+++ b/tests/fleet/site.py
@@ -21,6 +21,7 @@
 )
 from pepperstep.fleet import Demand, Fleet, FleetPorts, FleetTuning
 from pepperstep.ports import (
+    Agreement,
     HostState,
     Offer,
     OrderKind,
@@ -156,6 +157,8 @@
         self.checks_fencing = True
         # Time from an accepted load until the model is announced.
         self.load_seconds = 0.0
+        # Time that the receiver of reclaim notices takes.
+        self.take_seconds = 0.01
         self.fleets: dict[str, Fleet] = {}
         self.sent: list[SentOrder] = []
         self.handed: list[tuple[str, int]] = []
@@ -274,6 +277,13 @@
         assert len({engine.upstream.host for engine in self.engines}) == hosts
         assert all(KEY in engine.upstream.models for engine in self.engines)
 
+    def make_agreement(self, name: str, nursery: trio.Nursery) -> Agreement:
+        """Return a host's access to the log."""
+        return KillableAgreement(name, self.log, self)
+
+    async def run_agreement(self, agreement: Agreement) -> None:
+        """Run what the access needs."""
+
     async def _elect_next(self) -> None:
         await trio.sleep(1.5)
         self.lead("control-1")
@@ -286,7 +296,7 @@
             calls = ("start_host", "stop_host", "send_order")
             ports = FleetPorts(
                 host=name,
-                agreement=KillableAgreement(name, self.log, self),
+                agreement=self.make_agreement(name, nursery),
                 cloud=Killable(self.cloud, name, self, *calls),
                 upstreams=Killable(self.upstreams, name, self, *calls),
                 registry=_Registry(self),
@@ -301,11 +311,12 @@
                 demand=lambda target: Demand(self.busy[target]),
                 tuning=self.tuning,
             )
+            nursery.start_soon(self.run_agreement, ports.agreement)
             await nursery.start(self.fleets[name].run)
             task_status.started()
 
     async def _take_notices(self, name: str, notices) -> None:
-        await trio.sleep(0.01)
+        await trio.sleep(self.take_seconds)
         self.handed += [(name, notice.id) for notice in notices]
 
     def upstreams_of(self, host_id: str) -> list[FakeEngine]:
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -104,7 +104,8 @@
     async with Site.start() as site:
         await trio.sleep(40)
         site.busy[NAME] = 5.0
-        chosen = site.upstreams.all["engine-host-3"]
+        # Its host is the dearest.
+        chosen = next(e for e in site.engines if e.upstream.zone == "hakodate-hall")
         order = GenerateOrder("a", KEY, "Seat them.", (), 3000, 1, 0)
         async with site.upstreams.generate(chosen.upstream, order) as chunks:
             async for _ in chunks:
@@ -214,6 +215,21 @@
         assert not site.machine.notices
 
 
+async def test_notices_that_were_not_taken_are_handed_on_again(autojump_clock):
+    async with Site.start() as site:
+        await trio.sleep(40)
+        site.take_seconds = 100.0
+        site.cloud.reclaim(60, host_id="host-2")
+        await trio.sleep(20)
+        assert not site.handed
+        assert not site.machine.handed_notices
+        # Nothing else waits for it.
+        assert len(site.cloud.hosts) > 3
+        site.take_seconds = 0.01
+        await trio.sleep(10)
+        assert site.handed == [("control-0", 1)]
+
+
 async def test_costs_are_counted_by_deployment_and_class(autojump_clock):
     async with Site.start() as site:
         await trio.sleep(40)
