--- /dev/null
+++ b/src/pepperstep/requests/acceptance.py
@@ -0,0 +1,148 @@
+"""Takes requests on: key, record at a second host, and claim."""
+
+from pepperstep.claims import ClaimAnswer, ClaimStatus
+from pepperstep.entities import Request
+from pepperstep.errors import Code, Execution, Failure
+from pepperstep.ports import Timers
+from pepperstep.requests.claim_book import ClaimBook, RecordedAnswer, claim_key
+from pepperstep.requests.finder import Finder, Whereabouts
+from pepperstep.requests.journal import Journal
+from pepperstep.requests.keys import Keys
+from pepperstep.requests.run import Run
+
+__all__ = ["Acceptance"]
+
+# A request that isn't recorded or claimed after this time is refused.
+_ACCEPT_SECONDS = 3.0
+_RETRY_SECONDS = 0.1
+# Time that an earlier request with the key is searched for.
+_SEARCH_SECONDS = 3.0
+
+
+class Acceptance:
+    """Decides which request answers a caller: the new one or an earlier one."""
+
+    def __init__(
+        self,
+        journal: Journal,
+        keys: Keys,
+        finder: Finder,
+        claims: ClaimBook,
+        timers: Timers,
+    ):
+        self._journal = journal
+        self._keys = keys
+        self._finder = finder
+        self._claims = claims
+        self._timers = timers
+
+    async def accept(self, run: Run) -> str:
+        """Return the id of the request that answers, `run` or an earlier one.
+
+        Raise `Failure` if there is none. `run` hasn't run then, and won't.
+        """
+        request = run.request
+        if request.is_repeatable and request.idempotency_key:
+            first = await self._reserve(request)
+            if first != run.id:
+                return first
+        await self._record(run)
+        return run.id if request.is_repeatable else await self.claim(run)
+
+    async def claim(self, run: Run) -> str:
+        """Return the id of the request that has the claim or its answer.
+
+        Raise `Failure` if the claim isn't granted and no answer is known.
+        """
+        give_up_at = self._timers.now() + _SEARCH_SECONDS
+        while True:
+            answer = await self._ask_claim(run)
+            if answer.is_granted:
+                run.claim = answer.claim
+                return run.id
+            if answer.status is ClaimStatus.CONFLICT:
+                raise _conflict()
+            holder = answer.claim.request_id
+            if answer.claim.outcome is not None:
+                self._repeat(run, RecordedAnswer.from_claim(answer.claim))
+                return run.id
+            if holder == run.id:
+                raise Failure(Code.NOT_READY, "A later owner has the request's claim.")
+            found = await self._finder.find(holder)
+            if found.whereabouts in (Whereabouts.OWNED, Whereabouts.HELD):
+                return holder
+            # A holder that didn't run frees its claim soon.
+            if self._timers.now() > give_up_at:
+                if found.whereabouts is Whereabouts.FAILED:
+                    return holder
+                raise _doubtful(holder)
+            await self._timers.sleep(_RETRY_SECONDS)
+
+    async def _reserve(self, request: Request) -> str:
+        """Return the id of the request that has the idempotency key."""
+        replaces = ""
+        give_up_at = self._timers.now() + _SEARCH_SECONDS
+        while True:
+            holder = await self._keys.reserve(request, replaces)
+            if holder.request_id == request.id:
+                return request.id
+            if holder.fingerprint != request.fingerprint:
+                raise _conflict()
+            found = await self._finder.find(holder.request_id)
+            if found.whereabouts in (Whereabouts.OWNED, Whereabouts.HELD):
+                return holder.request_id
+            is_late = self._timers.now() > give_up_at
+            if is_late or found.whereabouts is not Whereabouts.UNCLEAR:
+                # It has failed or is lost, and may run again as another one.
+                replaces = holder.request_id
+                continue
+            await self._timers.sleep(_RETRY_SECONDS)
+
+    async def _record(self, run: Run) -> None:
+        self._journal.add(run)
+        with self._timers.move_on_after(self._seconds_left(run)):
+            await run.wait_confirmed()
+        if not run.is_confirmed or run.is_lost:
+            raise Failure(
+                Code.NOT_READY,
+                "No second entry host has recorded the request in time.",
+                retry_after=1.0,
+            )
+
+    async def _ask_claim(self, run: Run) -> ClaimAnswer:
+        request = run.request
+        return await self._claims.claim(
+            request.workspace,
+            claim_key(request),
+            request.id,
+            request.fingerprint,
+            self._seconds_left(run),
+            run.epoch,
+        )
+
+    def _seconds_left(self, run: Run) -> float:
+        remaining = run.request.deadline - self._timers.wall()
+        return max(0.0, min(_ACCEPT_SECONDS, remaining))
+
+    def _repeat(self, run: Run, answer: RecordedAnswer) -> None:
+        """End a run with the answer that its claim has."""
+        if run.outcome is not None:
+            return
+        run.tokens[:] = answer.tokens
+        run.outcome = answer.outcome
+        self._journal.mark(run, is_urgent=True)
+
+
+def _conflict() -> Failure:
+    return Failure(
+        Code.IDEMPOTENCY_CONFLICT,
+        "The Idempotency-Key belongs to a request with another content.",
+    )
+
+
+def _doubtful(request_id: str) -> Failure:
+    return Failure(
+        Code.MAY_HAVE_RUN,
+        f"Request {request_id} with this key may have run; its answer is lost.",
+        execution=Execution.MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/src/pepperstep/requests/claim_book.py
@@ -0,0 +1,84 @@
+"""What requests that aren't repeatable need of the agreed claims."""
+
+from typing import Protocol
+
+import msgspec
+
+from pepperstep.claims import Claim, ClaimAnswer, ClaimOutcome, OutcomeKind
+from pepperstep.entities import Outcome, Request
+from pepperstep.errors import Code, Execution, Failure
+
+__all__ = ["ClaimBook", "NoClaims", "RecordedAnswer", "claim_key", "claim_outcome"]
+
+
+class ClaimBook(Protocol):
+    """Claims that a quorum has committed (see `pepperstep.claims.Claims`)."""
+
+    async def claim(
+        self,
+        workspace: str,
+        key: str,
+        request_id: str,
+        fingerprint: str,
+        timeout: float,
+        epoch: int = 1,
+    ) -> ClaimAnswer:
+        """Return who holds the claim; raise `Failure` if that isn't known."""
+
+    async def finish(self, claim: Claim, outcome: ClaimOutcome, timeout: float) -> bool:
+        """Record how the claim's request ended."""
+
+
+class NoClaims:
+    """Claims of a host without a log: nothing can be claimed."""
+
+    async def claim(
+        self,
+        workspace: str,
+        key: str,
+        request_id: str,
+        fingerprint: str,
+        timeout: float,
+        epoch: int = 1,
+    ) -> ClaimAnswer:
+        """Raise `Failure`."""
+        raise Failure(Code.NO_QUORUM, "This host keeps no claims.")
+
+    async def finish(self, claim: Claim, outcome: ClaimOutcome, timeout: float) -> bool:
+        """Return False."""
+        return False
+
+
+class RecordedAnswer(msgspec.Struct, frozen=True):
+    """Tokens and outcome of an answered request, as its claim keeps them."""
+
+    tokens: list[str]
+    outcome: Outcome
+
+    @classmethod
+    def from_claim(cls, claim: Claim) -> "RecordedAnswer":
+        """Return what a finished claim says."""
+        if claim.outcome.answer:
+            return msgspec.json.decode(claim.outcome.answer, type=cls)
+        text = "A request with this key may have run; there is no answer."
+        if claim.outcome.kind is OutcomeKind.ANSWERED:
+            text = "A request with this key was answered; the answer is too long."
+        execution = Execution.MAY_HAVE_RUN
+        outcome = Outcome(code=Code.MAY_HAVE_RUN, text=text, execution=execution)
+        return cls([], outcome)
+
+
+def claim_key(request: Request) -> str:
+    """Return the key under which a request that isn't repeatable is claimed."""
+    return request.idempotency_key or request.id
+
+
+def claim_outcome(tokens: list[str], outcome: Outcome) -> ClaimOutcome:
+    """Return what a claim is to keep of a request that has ended."""
+    if outcome.is_answered:
+        return ClaimOutcome.from_answer(
+            msgspec.json.encode(RecordedAnswer(tokens, outcome))
+        )
+    if outcome.execution is Execution.NOT_RUN:
+        return ClaimOutcome(OutcomeKind.NOT_RUN)
+    return ClaimOutcome(OutcomeKind.MAY_HAVE_RUN)
--- /dev/null
+++ b/src/pepperstep/requests/finder.py
@@ -0,0 +1,143 @@
+"""Finds the host that owns a request."""
+
+import enum
+from dataclasses import dataclass
+
+import trio
+
+from pepperstep.entities import Host
+from pepperstep.errors import Failure
+from pepperstep.ports import Directory, PeerNetwork
+from pepperstep.proto import journal_pb2
+from pepperstep.requests.held import HeldRecords
+from pepperstep.requests.journal import rank_hosts
+from pepperstep.requests.run import Run
+
+__all__ = ["Finder", "Found", "Whereabouts"]
+
+_CALL_SECONDS = 0.5
+# Hosts asked at once; each round asks twice as many.
+_FIRST_ROUND = 8
+
+_State = journal_pb2.FoundRequest
+
+
+class Whereabouts(enum.Enum):
+    """What is known of a request's owner."""
+
+    OWNED = enum.auto()
+    # Owned, and ended by a failure.
+    FAILED = enum.auto()
+    # A second keeps a copy, and may take over.
+    HELD = enum.auto()
+    # All hosts answered, and none knows the request.
+    NOWHERE = enum.auto()
+    # No host that answered knows the request.
+    UNCLEAR = enum.auto()
+
+
+_WHEREABOUTS = {
+    _State.OWNED: Whereabouts.OWNED,
+    _State.FAILED: Whereabouts.FAILED,
+    _State.HELD: Whereabouts.HELD,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """Result of a search; `owner` is empty unless the request is owned."""
+
+    whereabouts: Whereabouts
+    owner: str = ""
+
+    @property
+    def is_owned(self) -> bool:
+        """Whether a host answered that it owns the request."""
+        return bool(self.owner)
+
+
+class Finder:
+    """Asks the entry hosts for requests, and answers when they ask."""
+
+    def __init__(
+        self,
+        host: Host,
+        owned: dict[str, Run],
+        held: HeldRecords,
+        peers: PeerNetwork,
+        directory: Directory,
+    ):
+        self._host = host
+        self._owned = owned
+        self._held = held
+        self._peers = peers
+        self._directory = directory
+        peers.handle(journal_pb2.FindRequest, self._handle_find)
+
+    def know(self, request_id: str) -> journal_pb2.FoundRequest:
+        """Return what this host knows by itself."""
+        run = self._owned.get(request_id)
+        if run is not None and not run.is_lost:
+            has_failed = run.outcome is not None and not run.outcome.is_answered
+            state = _State.FAILED if has_failed else _State.OWNED
+            return _State(state=state, owner=self._host.name)
+        owner = self._held.owner_of(request_id)
+        if owner is not None:
+            return _State(state=_State.HELD, owner=owner)
+        taken_by = "" if run is None else run.taken_by
+        return _State(state=_State.UNKNOWN, owner=taken_by)
+
+    async def find(self, request_id: str) -> Found:
+        """Ask until a host says that it owns the request, or all were asked."""
+        answers = {self._host.name: self.know(request_id)}
+        names = self._candidates(request_id)
+        size = _FIRST_ROUND
+        while names:
+            async with trio.open_nursery() as nursery:
+                for name in names[:size]:
+                    nursery.start_soon(self._ask, name, request_id, answers)
+            found = _owned_in(answers)
+            if found is not None:
+                return found
+            names, size = names[size:], 2 * size
+        return _owned_in(answers) or _unowned_in(answers)
+
+    async def _ask(
+        self,
+        name: str,
+        request_id: str,
+        answers: dict[str, journal_pb2.FoundRequest | None],
+    ) -> None:
+        message = journal_pb2.FindRequest(request_id=request_id)
+        try:
+            answers[name] = await self._peers.call(name, message, _CALL_SECONDS)
+        except Failure:
+            answers[name] = None
+
+    def _candidates(self, request_id: str) -> list[str]:
+        """Return the other hosts, those first that may know the request."""
+        first_owner = request_id.split(".")[0]
+        hosts = rank_hosts(self._directory.entry_hosts(), first_owner)
+        names = [host.name for host in hosts if host.name != self._host.name]
+        likely = (self.know(request_id).owner, first_owner)
+        return sorted(names, key=lambda name: name not in likely)
+
+    async def _handle_find(
+        self, message: journal_pb2.FindRequest, sender: str
+    ) -> journal_pb2.FoundRequest:
+        return self.know(message.request_id)
+
+
+def _owned_in(answers: dict[str, journal_pb2.FoundRequest | None]) -> Found | None:
+    for name, answer in answers.items():
+        if answer is not None and answer.state in (_State.OWNED, _State.FAILED):
+            return Found(_WHEREABOUTS[answer.state], name)
+    return None
+
+
+def _unowned_in(answers: dict[str, journal_pb2.FoundRequest | None]) -> Found:
+    if any(answer and answer.state == _State.HELD for answer in answers.values()):
+        return Found(Whereabouts.HELD)
+    if None in answers.values():
+        return Found(Whereabouts.UNCLEAR)
+    return Found(Whereabouts.NOWHERE)
--- a/src/pepperstep/requests/held.py
+++ b/src/pepperstep/requests/held.py
@@ -1,36 +1,39 @@
 """Records that this host keeps as second host for owners."""
 
-import enum
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 import msgspec
 from absl import logging
 
-from pepperstep.entities import Request
 from pepperstep.errors import Code, Failure
 from pepperstep.ports import Timers
 from pepperstep.proto import journal_pb2
-from pepperstep.requests.links import LinkDecisions
+from pepperstep.requests.links import LinkDecisions, LinkKey, link_key
 from pepperstep.requests.run import Run
+from pepperstep.requests.taken import TakenLists
 
-__all__ = ["HeldRecords", "link_key"]
+__all__ = ["HeldRecords"]
 
 _DECISION_SECONDS = 2.0
+# Ended links that are remembered, so that a late message revives none.
+_MAX_ENDED = 20_000
 
-LinkKey = tuple[str, int, str, int]
 
+class _Facts(msgspec.Struct):
+    """What a second needs to know of a request."""
 
-def link_key(link: journal_pb2.Link) -> LinkKey:
-    """Return what identifies a link."""
-    return (link.owner, link.incarnation, link.second, link.generation)
+    deadline: float
 
 
-class _State(enum.Enum):
-    """What has become of a link, as seen by its second."""
+@dataclass(slots=True)
+class _HeldRecord:
+    """A record, the request's deadline (Unix time) and the last change."""
 
-    HELD = enum.auto()
-    # A takeover was proposed and may be granted at any time.
-    DECIDING = enum.auto()
-    TAKEN = enum.auto()
+    record: journal_pb2.RequestRecord
+    deadline: float
+    updated_at: float
 
 
 class _HeldLink:
@@ -38,133 +41,242 @@
 
     def __init__(self, link: journal_pb2.Link):
         self.link = link
-        self.state = _State.HELD
-        self.records: dict[str, journal_pb2.RequestRecord] = {}
-        self.updated_at: dict[str, float] = {}
+        # Whether a takeover was proposed, which may be granted at any time.
+        self.is_deciding = False
+        self.is_granted = False
+        self.sequence = 0
+        self.ack = journal_pb2.JournalAck()
+        self.records: dict[str, _HeldRecord] = {}
+
+    def ids_by_prior(self) -> list[tuple[journal_pb2.Link, set[str]]]:
+        """Return the links that came before this one for some records."""
+        found: dict[LinkKey, tuple[journal_pb2.Link, set[str]]] = {}
+        for request_id, held in self.records.items():
+            for prior in held.record.priors:
+                found.setdefault(link_key(prior), (prior, set()))[1].add(request_id)
+        return list(found.values())
+
+    def taken_in(self, wanted: set[str]) -> set[str] | None:
+        """Return what a takeover takes of the requests, None if it isn't known."""
+        present = {each for each in wanted if each in self.records}
+        has_priors = any(self.records[each].record.priors for each in present)
+        return present if self.is_granted and not has_priors else None
+
+
+@dataclass(frozen=True, slots=True)
+class _Ended:
+    """A link that isn't held any more: dropped, or taken over with requests."""
+
+    is_taken: bool = False
+    request_ids: tuple[str, ...] = ()
 
 
 class HeldRecords:
     """All links on which this host is the second."""
 
-    def __init__(self, incarnation: int, timers: Timers, decisions: LinkDecisions):
+    def __init__(
+        self,
+        incarnation: int,
+        timers: Timers,
+        decisions: LinkDecisions,
+        taken: TakenLists,
+    ):
         self._incarnation = incarnation
         self._timers = timers
         self._decisions = decisions
+        self._taken = taken
         self._links: dict[LinkKey, _HeldLink] = {}
-        # Request ids by workspace and idempotency key.
-        self._keys: dict[tuple[str, str], str] = {}
+        self._ended: OrderedDict[LinkKey, _Ended] = OrderedDict()
+
+    async def handle_open(
+        self, message: journal_pb2.OpenLink, sender: str
+    ) -> journal_pb2.LinkOpened:
+        """Start to hold a link."""
+        key = link_key(message.link)
+        if key in self._ended:
+            raise Failure(Code.FENCED, "The link has ended.")
+        self._links.setdefault(key, _HeldLink(message.link))
+        return journal_pb2.LinkOpened(second_incarnation=self._incarnation)
 
     async def handle_batch(
         self, batch: journal_pb2.JournalBatch, sender: str
     ) -> journal_pb2.JournalAck:
         """Record a batch of an owner."""
-        held = self._links.setdefault(link_key(batch.link), _HeldLink(batch.link))
-        if held.state is _State.DECIDING:
+        key = link_key(batch.link)
+        held = self._links.get(key)
+        if held is None or batch.link.second_incarnation != self._incarnation:
+            is_taken = self.has_taken(batch.link)
+            ack = journal_pb2.JournalAck
+            return ack(state=ack.TAKEN if is_taken else ack.UNKNOWN)
+        if held.is_deciding:
             raise Failure(Code.NOT_READY, "The link's takeover is being decided.")
-        ack = journal_pb2.JournalAck(incarnation=self._incarnation)
-        if held.state is _State.TAKEN:
-            ack.is_taken = True
-            return ack
-        for record in batch.records:
-            self._store(held, record)
-        for checkpoint in batch.checkpoints:
-            if not self._advance(held, checkpoint):
-                ack.missing.append(checkpoint.request_id)
-        return ack
+        if batch.sequence < held.sequence:
+            raise Failure(Code.FENCED, "A later batch was recorded before.")
+        if batch.sequence > held.sequence:
+            held.sequence = batch.sequence
+            held.link = batch.link
+            held.ack = self._record(held, batch)
+        return held.ack
+
+    async def handle_forget(
+        self, message: journal_pb2.ForgetLink, sender: str
+    ) -> journal_pb2.LinkForgotten:
+        """Forget a link that the agreed log has dropped."""
+        held = self._links.get(link_key(message.link))
+        if held is None or not held.is_deciding:
+            self._end(message.link, _Ended())
+        return journal_pb2.LinkForgotten()
+
+    async def handle_list(
+        self, message: journal_pb2.ListTaken, sender: str
+    ) -> journal_pb2.TakenRequests:
+        """Tell the earlier owner of a link what was taken over with it."""
+        return self._list_taken(message.link, set(message.request_ids))
+
+    def adopt(self, link: journal_pb2.Link, runs: Iterable[Run]) -> None:
+        """Hold runs that another host has taken over, for its first moments."""
+        if link_key(link) in self._ended:
+            return
+        held = self._links.setdefault(link_key(link), _HeldLink(link))
+        for run in runs:
+            self._store(held, run.to_record())
 
-    def owners(self) -> set[tuple[str, int]]:
-        """Return the name and incarnation of all owners with records here."""
-        return {
-            (held.link.owner, held.link.incarnation)
+    def links_due(self, is_gone: Callable[[str, int], bool]) -> list[journal_pb2.Link]:
+        """Return the links to take over, as their owner is gone or asked for it."""
+        return [
+            held.link
             for held in self._links.values()
-            if held.state is not _State.TAKEN
-        }
+            if held.is_deciding or is_gone(held.link.owner, held.link.incarnation)
+        ]
 
-    def find(self, request_id: str) -> tuple[journal_pb2.RequestRecord, str] | None:
-        """Return a request's record and its owner's name."""
+    def owner_of(self, request_id: str) -> str | None:
+        """Return the owner of a request that is held here."""
         for held in self._links.values():
-            record = held.records.get(request_id)
-            if record is not None:
-                return record, held.link.owner
+            if request_id in held.records:
+                return held.link.owner
         return None
 
-    def find_key(self, workspace: str, idempotency_key: str) -> str | None:
-        """Return the id of the request with this key."""
-        return self._keys.get((workspace, idempotency_key))
+    def has_taken(self, link: journal_pb2.Link) -> bool:
+        """Whether this host has taken the link over."""
+        return self._ended.get(link_key(link), _Ended()).is_taken
 
-    async def take_over(self, owner: str, incarnation: int) -> list[Run]:
-        """Return the runs that this host owns from now on in place of `owner`.
+    async def take_over(self, link: journal_pb2.Link) -> list[Run]:
+        """Return the runs that this host owns from now on.
 
-        Raise `Failure` with `NO_QUORUM` if that can't be decided now; what
-        was decided before stays for the next call.
+        Raise `Failure` if that isn't known; ask again then, as the takeover may
+        be granted later.
         """
-        runs: list[Run] = []
-        for held in list(self._links.values()):
-            if (held.link.owner, held.link.incarnation) == (owner, incarnation):
-                runs += await self._take_link(held)
-        return runs
-
-    async def take_link(self, link: journal_pb2.Link) -> list[Run]:
-        """Return the runs of one link, whose owner asked for the takeover."""
         held = self._links.get(link_key(link))
-        return [] if held is None else await self._take_link(held)
-
-    def prune(self, keep_seconds: float) -> None:
-        """Forget requests that ended, or whose deadline passed, that long ago."""
-        now = self._timers.now()
-        for key, held in list(self._links.items()):
-            for request_id, updated_at in list(held.updated_at.items()):
-                is_over = bool(held.records[request_id].outcome)
-                if is_over and now - updated_at > keep_seconds:
-                    self._forget(held, request_id)
-            if not held.records and held.state is _State.HELD:
-                del self._links[key]
-
-    async def _take_link(self, held: _HeldLink) -> list[Run]:
-        if held.state is _State.TAKEN:
+        if held is None:
             return []
-        held.state = _State.DECIDING
+        held.is_deciding = True
         is_granted = await self._decisions.take_over(held.link, _DECISION_SECONDS)
-        if held.state is _State.TAKEN:
+        held.is_granted = is_granted
+        elsewhere = await self._drop_priors(held) if is_granted else {}
+        if link_key(link) not in self._links:
+            # Another call has ended it.
             return []
-        records = list(held.records.values())
-        held.records.clear()
-        held.updated_at.clear()
         if not is_granted:
-            self._links.pop(link_key(held.link), None)
+            self._end(link, _Ended())
             return []
-        held.state = _State.TAKEN
-        logging.info(
-            "requests: Took over %d requests of %s.", len(records), held.link.owner
-        )
+        records = [
+            each.record
+            for each in held.records.values()
+            if _counts(each.record, elsewhere)
+        ]
+        ids = tuple(record.request_id for record in records)
+        self._end(link, _Ended(is_taken=True, request_ids=ids))
+        logging.info("requests: Took over %d requests of %s.", len(ids), link.owner)
         return [Run.from_record(record) for record in records]
 
+    def prune(self, keep_seconds: float) -> None:
+        """Forget requests that ended, or whose deadline passed, that long ago."""
+        changed_by = self._timers.now() - keep_seconds
+        due_by = self._timers.wall() - keep_seconds
+        for held in self._links.values():
+            if held.is_deciding:
+                continue
+            for request_id, each in list(held.records.items()):
+                is_ended = each.record.outcome and each.updated_at < changed_by
+                if is_ended or each.deadline < due_by:
+                    del held.records[request_id]
+
+    async def _drop_priors(self, held: _HeldLink) -> dict[LinkKey, set[str]]:
+        """Return, by earlier link, the requests that went over with it."""
+        taken: dict[LinkKey, set[str]] = {}
+        for prior, request_ids in held.ids_by_prior():
+            if not await self._decisions.drop(prior, _DECISION_SECONDS):
+                taken[link_key(prior)] = await self._ask_taken(prior, request_ids)
+        return taken
+
+    async def _ask_taken(self, link: journal_pb2.Link, wanted: set[str]) -> set[str]:
+        """Return those of the requests that went over with another link."""
+        key = link_key(link)
+        if key in self._links or key in self._ended:
+            return self._taken.read(self._list_taken(link, wanted), wanted)
+        return await self._taken.ask(link, wanted)
+
+    def _list_taken(
+        self, link: journal_pb2.Link, wanted: set[str]
+    ) -> journal_pb2.TakenRequests:
+        answer = journal_pb2.TakenRequests
+        key = link_key(link)
+        held = self._links.get(key)
+        if held is not None:
+            taken = held.taken_in(wanted)
+            if taken is None:
+                return answer(state=answer.DECIDING)
+            return answer(state=answer.TAKEN, request_ids=taken)
+        ended = self._ended.get(key, _Ended())
+        if not ended.is_taken:
+            return answer(state=answer.UNKNOWN)
+        return answer(state=answer.TAKEN, request_ids=wanted & set(ended.request_ids))
+
+    def _end(self, link: journal_pb2.Link, end: _Ended) -> None:
+        key = link_key(link)
+        self._links.pop(key, None)
+        self._ended.setdefault(key, end)
+        if len(self._ended) > _MAX_ENDED:
+            self._ended.popitem(last=False)
+
+    def _record(
+        self, held: _HeldLink, batch: journal_pb2.JournalBatch
+    ) -> journal_pb2.JournalAck:
+        ack = journal_pb2.JournalAck()
+        for record in batch.records:
+            self._store(held, record)
+        for checkpoint in batch.checkpoints:
+            if not self._advance(held, checkpoint):
+                ack.missing.append(checkpoint.request_id)
+        return ack
+
     def _store(self, held: _HeldLink, record: journal_pb2.RequestRecord) -> None:
-        held.records[record.request_id] = record
-        held.updated_at[record.request_id] = self._timers.now()
-        request = msgspec.json.decode(record.request, type=Request)
-        if request.idempotency_key:
-            key = (request.workspace, request.idempotency_key)
-            self._keys[key] = request.id
+        facts = msgspec.json.decode(record.request, type=_Facts)
+        held.records[record.request_id] = _HeldRecord(
+            record, facts.deadline, self._timers.now()
+        )
 
     def _advance(self, held: _HeldLink, step: journal_pb2.Checkpoint) -> bool:
-        record = held.records.get(step.request_id)
-        if record is None or step.position > len(record.tokens):
+        each = held.records.get(step.request_id)
+        if each is None or step.position > len(each.record.tokens):
             return False
-        record.tokens.extend(step.tokens[len(record.tokens) - step.position :])
+        record = each.record
+        known = len(record.tokens) - step.position
+        record.tokens.extend(step.tokens[known:] if known else step.tokens)
         record.attempt = step.attempt
         record.upstream = step.upstream
         record.is_dispatched = step.is_dispatched
         record.outcome = step.outcome
-        del record.lost_upstreams[:]
-        record.lost_upstreams.extend(step.lost_upstreams)
-        held.updated_at[step.request_id] = self._timers.now()
+        if len(record.lost_upstreams) != len(step.lost_upstreams):
+            record.ClearField("lost_upstreams")
+            record.lost_upstreams.extend(step.lost_upstreams)
+        each.updated_at = self._timers.now()
         return True
 
-    def _forget(self, held: _HeldLink, request_id: str) -> None:
-        record = held.records.pop(request_id)
-        del held.updated_at[request_id]
-        request = msgspec.json.decode(record.request, type=Request)
-        key = (request.workspace, request.idempotency_key)
-        if self._keys.get(key) == request_id:
-            del self._keys[key]
+
+def _counts(
+    record: journal_pb2.RequestRecord, elsewhere: dict[LinkKey, set[str]]
+) -> bool:
+    """Whether the request didn't go over with one of the record's earlier links."""
+    keys = map(link_key, record.priors)
+    return not any(record.request_id in elsewhere.get(key, ()) for key in keys)
--- /dev/null
+++ b/src/pepperstep/requests/keys.py
@@ -0,0 +1,158 @@
+"""Idempotency keys, reserved for the first request that comes with each.
+
+The entry hosts that a key ranks first keep its reservation, so that a repeat
+finds the request wherever it comes in. Requests that aren't repeatable go by
+the agreed claims instead.
+"""
+
+from dataclasses import dataclass
+
+from pepperstep.entities import Host, Request
+from pepperstep.errors import Failure
+from pepperstep.ports import Directory, PeerNetwork, Timers
+from pepperstep.proto import journal_pb2
+from pepperstep.requests.journal import rank_hosts
+
+__all__ = ["KeyTable", "Keys"]
+
+_CALL_SECONDS = 0.3
+# Hosts that keep a key, and hosts tried if some of them don't answer.
+_KEEPERS = 2
+_TRIED = 4
+
+
+@dataclass(slots=True)
+class _Holder:
+    """The request that has a key, until a monotonic time."""
+
+    request_id: str
+    fingerprint: str
+    expires_at: float
+
+
+class KeyTable:
+    """Reservations that this host keeps."""
+
+    def __init__(self, timers: Timers):
+        self._timers = timers
+        self._holders: dict[tuple[str, str], _Holder] = {}
+
+    def reserve(self, wish: journal_pb2.KeyReservation) -> journal_pb2.KeyReservation:
+        """Return the key's holder, which is the wish's request if it was free."""
+        now = self._timers.now()
+        key = (wish.workspace, wish.key)
+        holder = self._holders.get(key)
+        is_free = holder is None or holder.expires_at < now
+        if is_free or holder.request_id in (wish.request_id, wish.replaces):
+            holder = _Holder(wish.request_id, wish.fingerprint, now + wish.keep_seconds)
+            self._holders[key] = holder
+        return journal_pb2.KeyReservation(
+            workspace=wish.workspace,
+            key=wish.key,
+            request_id=holder.request_id,
+            fingerprint=holder.fingerprint,
+        )
+
+    def prune(self) -> None:
+        """Forget reservations whose time is over."""
+        now = self._timers.now()
+        over = [key for key, holder in self._holders.items() if holder.expires_at < now]
+        for key in over:
+            del self._holders[key]
+
+
+class Keys:
+    """Reserves keys at the hosts that keep them."""
+
+    def __init__(
+        self,
+        host: Host,
+        peers: PeerNetwork,
+        timers: Timers,
+        directory: Directory,
+        keep_seconds: float,
+    ):
+        self._host = host
+        self._peers = peers
+        self._timers = timers
+        self._directory = directory
+        self._keep_seconds = keep_seconds
+        self.table = KeyTable(timers)
+        # Keepers of each reserved key, as they were when it was reserved.
+        self._hosts: frozenset[str] = frozenset()
+        peers.handle(journal_pb2.ReserveKeys, self._handle_reserve)
+
+    async def reserve(
+        self, request: Request, replaces: str = ""
+    ) -> journal_pb2.KeyReservation:
+        """Reserve the request's key and return its holder.
+
+        `replaces` names a request that may lose the key.
+        """
+        wish = self._wish_of(request, replaces)
+        kept = 0
+        for host in self._keepers(request)[:_TRIED]:
+            holder = await self._reserve_at(host, wish)
+            if holder is None:
+                continue
+            if holder.request_id != request.id:
+                return holder
+            kept += 1
+            if kept == _KEEPERS:
+                break
+        return wish
+
+    async def keep(self, requests: list[Request]) -> None:
+        """Reserve the keys of live requests again where the hosts have changed."""
+        names = frozenset(host.name for host in self._directory.entry_hosts())
+        if names == self._hosts:
+            return
+        self._hosts = names
+        wishes: dict[str, list[journal_pb2.KeyReservation]] = {}
+        for request in requests:
+            for host in self._keepers(request)[:_KEEPERS]:
+                wishes.setdefault(host.name, []).append(self._wish_of(request))
+        for name, reservations in wishes.items():
+            await self._reserve_all_at(name, reservations)
+
+    async def _reserve_at(
+        self, host: Host, wish: journal_pb2.KeyReservation
+    ) -> journal_pb2.KeyReservation | None:
+        holders = await self._reserve_all_at(host.name, [wish])
+        return holders[0] if holders else None
+
+    async def _reserve_all_at(
+        self, name: str, wishes: list[journal_pb2.KeyReservation]
+    ) -> list[journal_pb2.KeyReservation]:
+        """Return the holders, none if the host doesn't answer."""
+        if name == self._host.name:
+            return [self.table.reserve(wish) for wish in wishes]
+        message = journal_pb2.ReserveKeys(reservations=wishes)
+        try:
+            answer = await self._peers.call(name, message, _CALL_SECONDS)
+        except Failure:
+            return []
+        return list(answer.holders)
+
+    async def _handle_reserve(
+        self, message: journal_pb2.ReserveKeys, sender: str
+    ) -> journal_pb2.KeysReserved:
+        holders = [self.table.reserve(wish) for wish in message.reservations]
+        return journal_pb2.KeysReserved(holders=holders)
+
+    def _keepers(self, request: Request) -> list[Host]:
+        key = f"{request.workspace}\0{request.idempotency_key}"
+        return rank_hosts(self._directory.entry_hosts(), key)
+
+    def _wish_of(
+        self, request: Request, replaces: str = ""
+    ) -> journal_pb2.KeyReservation:
+        remaining = max(0.0, request.deadline - self._timers.wall())
+        return journal_pb2.KeyReservation(
+            workspace=request.workspace,
+            key=request.idempotency_key,
+            request_id=request.id,
+            fingerprint=request.fingerprint,
+            keep_seconds=remaining + self._keep_seconds,
+            replaces=replaces,
+        )
--- a/src/pepperstep/requests/link.py
+++ b/src/pepperstep/requests/link.py
@@ -6,76 +6,80 @@
 import trio
 from absl import logging
 
-from pepperstep.errors import Code, Failure
+from pepperstep.errors import Failure
 from pepperstep.ports import PeerNetwork, Timers
 from pepperstep.proto import journal_pb2
-from pepperstep.requests.links import LinkDecisions
 from pepperstep.requests.run import Run
 
 __all__ = ["JournalLink"]
 
 _CALL_SECONDS = 0.25
+_HAND_OVER_SECONDS = 4.0
 _RETRY_SECONDS = 0.02
-# An unanswered link is dropped after this time, so that its streams go on
-# with another second.
-_DROP_SECONDS = 0.6
-_DECISION_SECONDS = 2.0
+# A link without an answer ends after this time, so that its streams go on with
+# another second.
+_SILENCE_SECONDS = 0.6
 # Tokens wait this long for others of the batch; records, first tokens and
 # outcomes don't wait.
 _BATCH_SECONDS = 0.015
+# What doesn't fit is sent with the next batch.
+_MAX_BATCH_BYTES = 512 * 1024
 
 
 @dataclass(slots=True)
 class _Sent:
-    """How much of a run the second has."""
+    """How much of a run the second has, as far as it has said so."""
 
     run: Run
     is_recorded: bool = False
     position: int = 0
-    has_outcome: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Step:
-    """What a batch in progress holds of one run."""
+    """What a batch on its way holds of one run."""
 
     sent: _Sent
     position: int
     has_outcome: bool
+    version: int
 
 
 class JournalLink:
-    """One link of this owner; `run` sends until the link ends.
+    """One link of this owner; `run` opens it and sends until it ends.
 
-    `on_end` gets the second's name, the runs whose outcome it doesn't have, and
-    whether it has taken them over.
+    `on_end` gets the link and whether the second has taken it over.
     """
 
     def __init__(
         self,
-        link: journal_pb2.Link,
+        message: journal_pb2.Link,
         peers: PeerNetwork,
         timers: Timers,
-        decisions: LinkDecisions,
-        on_end: Callable[[str, list[Run], bool], None],
+        on_end: Callable[["JournalLink", bool], None],
     ):
-        self._link = link
+        self.message = message
+        self.is_ended = False
         self._peers = peers
         self._timers = timers
-        self._decisions = decisions
         self._on_end = on_end
         self._sent: dict[str, _Sent] = {}
-        self._dirty: set[str] = set()
+        # Ids of runs that have changed, in the order of their changes.
+        self._dirty: dict[str, None] = {}
         self._is_urgent = False
         self._wake = trio.Event()
-        self._second_incarnation = 0
+        self._sequence = 0
         self._failing_since: float | None = None
-        self.is_ended = False
 
     @property
     def second(self) -> str:
         """Name of the second host."""
-        return self._link.second
+        return self.message.second
+
+    @property
+    def runs(self) -> list[Run]:
+        """All runs that the link keeps."""
+        return [sent.run for sent in self._sent.values()]
 
     def add(self, run: Run) -> None:
         """Send the run's whole record, and its changes from now on."""
@@ -84,119 +88,132 @@
 
     def mark(self, run: Run, is_urgent: bool = False) -> None:
         """Send what has changed of the run with the next batch."""
-        self._dirty.add(run.id)
+        is_wake_due = not self._dirty or (is_urgent and not self._is_urgent)
+        self._dirty[run.id] = None
         self._is_urgent = self._is_urgent or is_urgent
-        self._wake.set()
+        if is_wake_due:
+            self._wake.set()
+
+    def remove(self, run: Run) -> None:
+        """Send nothing more of the run; the second keeps what it has."""
+        self._sent.pop(run.id, None)
+        self._dirty.pop(run.id, None)
 
     async def run(self) -> None:
-        """Send batches until the link is dropped or taken over."""
+        """Open the link and send batches until it ends."""
+        while not (self.is_ended or self.message.second_incarnation):
+            await self._open()
         while not self.is_ended:
             await self._wait_dirty()
             await self._send_batch()
 
-    async def hand_over(self) -> bool:
-        """Ask the second to take the requests over; return whether it did."""
+    async def hand_over(self) -> None:
+        """Ask the second to take the requests over."""
+        request = journal_pb2.HandOver(link=self.message)
         try:
-            answer = await self._peers.call(
-                self.second,
-                journal_pb2.HandOver(link=self._link),
-                2 * _DECISION_SECONDS,
-            )
-        except Failure:
-            return False
+            answer = await self._peers.call(self.second, request, _HAND_OVER_SECONDS)
+        except Failure as failure:
+            logging.warning("requests: No handover to %s: %s", self.second, failure)
+            return
         if answer.is_taken:
-            self._end(is_taken=True)
-        return answer.is_taken
+            self.end(is_taken=True)
+
+    def end(self, is_taken: bool) -> None:
+        """Send nothing more."""
+        if self.is_ended:
+            return
+        self.is_ended = True
+        self._wake.set()
+        self._on_end(self, is_taken)
+        self._sent.clear()
+        self._dirty.clear()
+
+    async def _open(self) -> None:
+        request = journal_pb2.OpenLink(link=self.message)
+        try:
+            answer = await self._peers.call(self.second, request, _CALL_SECONDS)
+        except Failure:
+            await self._note_silence()
+            return
+        self._failing_since = None
+        self.message.second_incarnation = answer.second_incarnation
 
     async def _wait_dirty(self) -> None:
-        if not self._dirty:
+        while not (self._dirty or self.is_ended):
             self._wake = trio.Event()
             await self._wake.wait()
-        if self._is_urgent:
+        if self._is_urgent or self.is_ended:
             return
         self._wake = trio.Event()
         with self._timers.move_on_after(_BATCH_SECONDS):
-            while not self._is_urgent:
-                await self._wake.wait()
-                self._wake = trio.Event()
+            await self._wake.wait()
 
     async def _send_batch(self) -> None:
         batch, steps = self._build_batch()
+        if not steps:
+            return
         try:
             ack = await self._peers.call(self.second, batch, _CALL_SECONDS)
-        except Failure as failure:
-            self._dirty.update(step.sent.run.id for step in steps)
-            await self._note_failure(failure)
+        except Failure:
+            self._dirty.update((step.sent.run.id, None) for step in steps)
+            await self._note_silence()
             return
         self._failing_since = None
-        await self._take_ack(ack, steps)
+        # What a second acknowledges to an ended link doesn't count.
+        if not self.is_ended:
+            self._take_ack(ack, steps)
 
     def _build_batch(self) -> tuple[journal_pb2.JournalBatch, list[_Step]]:
-        batch = journal_pb2.JournalBatch(link=self._link)
-        steps = []
-        for request_id in self._dirty:
+        self._sequence += 1
+        batch = journal_pb2.JournalBatch(link=self.message, sequence=self._sequence)
+        steps: list[_Step] = []
+        size = 0
+        while self._dirty and size < _MAX_BATCH_BYTES:
+            request_id = next(iter(self._dirty))
+            del self._dirty[request_id]
             sent = self._sent.get(request_id)
-            if sent is None:
-                continue
-            if sent.is_recorded:
-                batch.checkpoints.append(sent.run.to_checkpoint(sent.position))
-            else:
-                batch.records.append(sent.run.to_record())
-            has_outcome = sent.run.outcome is not None
-            steps.append(_Step(sent, len(sent.run.tokens), has_outcome))
-        self._dirty.clear()
-        self._is_urgent = False
+            if sent is not None:
+                size += _append(batch, sent)
+                steps.append(_step_of(sent))
+        self._is_urgent = self._is_urgent and bool(self._dirty)
         return batch, steps
 
-    async def _take_ack(self, ack: journal_pb2.JournalAck, steps: list[_Step]) -> None:
-        if ack.is_taken:
-            self._end(is_taken=True)
+    def _take_ack(self, ack: journal_pb2.JournalAck, steps: list[_Step]) -> None:
+        if ack.state != journal_pb2.JournalAck.RECORDED:
+            self.end(is_taken=ack.state == journal_pb2.JournalAck.TAKEN)
             return
-        if self._second_incarnation not in (0, ack.incarnation):
-            # The second has restarted and holds nothing of earlier batches.
-            await self._drop()
-            return
-        self._second_incarnation = ack.incarnation
         missing = set(ack.missing)
         for step in steps:
-            if step.sent.run.id in missing:
-                step.sent.is_recorded = False
-                self.mark(step.sent.run, is_urgent=True)
+            sent = step.sent
+            if sent.run.id in missing:
+                sent.is_recorded = False
+                self.mark(sent.run, is_urgent=True)
                 continue
-            self._acknowledge(step)
-
-    def _acknowledge(self, step: _Step) -> None:
-        sent = step.sent
-        sent.is_recorded = True
-        sent.position = step.position
-        sent.run.release(step.position, step.has_outcome)
-        if step.has_outcome:
-            self._sent.pop(sent.run.id, None)
+            sent.is_recorded = True
+            sent.position = step.position
+            sent.run.acknowledge(step.position, step.has_outcome, step.version)
 
-    async def _note_failure(self, failure: Failure) -> None:
+    async def _note_silence(self) -> None:
         now = self._timers.now()
         if self._failing_since is None:
             self._failing_since = now
-        if now - self._failing_since >= _DROP_SECONDS:
-            await self._drop()
+        if now - self._failing_since >= _SILENCE_SECONDS:
+            self.end(is_taken=False)
             return
         await self._timers.sleep(_RETRY_SECONDS)
 
-    async def _drop(self) -> None:
-        try:
-            is_granted = await self._decisions.drop(self._link, _DECISION_SECONDS)
-        except Failure as failure:
-            if failure.code is not Code.NO_QUORUM:
-                raise
-            return
-        logging.info("requests: Dropped the link to %s: %s.", self.second, is_granted)
-        self._end(is_taken=not is_granted)
 
-    def _end(self, is_taken: bool) -> None:
-        if self.is_ended:
-            return
-        self.is_ended = True
-        runs = [sent.run for sent in self._sent.values()]
-        self._sent.clear()
-        self._on_end(self.second, runs, is_taken)
-        self._wake.set()
+def _append(batch: journal_pb2.JournalBatch, sent: _Sent) -> int:
+    """Add what the second lacks of a run; return its rough size in bytes."""
+    run = sent.run
+    if sent.is_recorded:
+        batch.checkpoints.append(run.to_checkpoint(sent.position))
+        return 64 + 8 * (len(run.tokens) - sent.position)
+    record = run.to_record()
+    batch.records.append(record)
+    return record.ByteSize()
+
+
+def _step_of(sent: _Sent) -> _Step:
+    run = sent.run
+    return _Step(sent, len(run.tokens), run.outcome is not None, run.version)
--- a/src/pepperstep/requests/links.py
+++ b/src/pepperstep/requests/links.py
@@ -6,10 +6,19 @@
 
 from collections import OrderedDict
 
+import xxhash
+
 from pepperstep.ports import Agreement
 from pepperstep.proto import journal_pb2
 
-__all__ = ["LINK_MACHINE", "LinkDecisions", "LinkMachine"]
+__all__ = [
+    "LINK_MACHINE",
+    "LinkDecisions",
+    "LinkKey",
+    "LinkMachine",
+    "back_link",
+    "link_key",
+]
 
 LINK_MACHINE = "links"
 
@@ -17,7 +26,31 @@
 # hosts fail or restart within an hour.
 _MAX_DECISIONS = 20_000
 
-_Key = tuple[str, int, str, int]
+# Generations of back links start here; those of other links count from one.
+_BACK_GENERATION = 1 << 63
+
+LinkKey = tuple[str, int, str, int]
+
+
+def link_key(link: journal_pb2.Link) -> LinkKey:
+    """Return what identifies a link."""
+    return (link.owner, link.incarnation, link.second, link.generation)
+
+
+def back_link(taken: journal_pb2.Link) -> journal_pb2.Link:
+    """Return the link from the new owner of a taken link to the earlier one.
+
+    The earlier owner may be alive and then has the last copy of the requests,
+    until the new owner has found a second and dropped this link.
+    """
+    text = f"{taken.incarnation}/{taken.generation}".encode()
+    return journal_pb2.Link(
+        owner=taken.second,
+        incarnation=taken.second_incarnation,
+        second=taken.owner,
+        generation=_BACK_GENERATION | xxhash.xxh3_64_intdigest(text),
+        second_incarnation=taken.incarnation,
+    )
 
 
 class LinkMachine:
@@ -25,12 +58,12 @@
 
     def __init__(self) -> None:
         # Whether the link was taken over, by link, oldest first.
-        self._taken: OrderedDict[_Key, bool] = OrderedDict()
+        self._taken: OrderedDict[LinkKey, bool] = OrderedDict()
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Grant the command unless the other way was granted before."""
         message = journal_pb2.LinkCommand.FromString(command)
-        key = _key_of(message.link)
+        key = link_key(message.link)
         is_taken = self._taken.setdefault(key, message.is_takeover)
         if len(self._taken) > _MAX_DECISIONS:
             self._taken.popitem(last=False)
@@ -49,7 +82,7 @@
         """Take the decisions of a snapshot."""
         states = journal_pb2.LinkSnapshot.FromString(data).decided
         self._taken = OrderedDict(
-            (_key_of(state.link), state.is_taken) for state in states
+            (link_key(state.link), state.is_taken) for state in states
         )
 
 
@@ -80,11 +113,7 @@
         return journal_pb2.LinkDecision.FromString(result).is_granted
 
 
-def _key_of(link: journal_pb2.Link) -> _Key:
-    return (link.owner, link.incarnation, link.second, link.generation)
-
-
-def _link_of(key: _Key) -> journal_pb2.Link:
+def _link_of(key: LinkKey) -> journal_pb2.Link:
     owner, incarnation, second, generation = key
     return journal_pb2.Link(
         owner=owner, incarnation=incarnation, second=second, generation=generation
--- a/src/pepperstep/requests/reader.py
+++ b/src/pepperstep/requests/reader.py
@@ -1,35 +1,27 @@
 """Reads answers, from this host's runs or from the host that owns them."""
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
 
 import msgspec
 
-from pepperstep.entities import Host, Outcome
+from pepperstep.entities import Outcome
 from pepperstep.errors import Code, Execution, Failure
-from pepperstep.ports import Directory, PeerNetwork, Timers
+from pepperstep.ports import PeerNetwork, Timers
 from pepperstep.proto import journal_pb2
-from pepperstep.requests.held import HeldRecords
-from pepperstep.requests.journal import rank_hosts
+from pepperstep.requests.finder import Finder, Whereabouts
+from pepperstep.requests.remote import Part, RemoteReads
 from pepperstep.requests.run import Run
 
 __all__ = ["Part", "Reader"]
 
-_WAIT_SECONDS = 5.0
-_CALL_SECONDS = 1.0
+_WAIT_SECONDS = 1.0
 _RETRY_SECONDS = 0.1
-# Time in which no host knows the request before a reader gives up; a takeover
-# takes less.
+# A reader gives up after this time without an owner; a takeover takes less.
 _SEARCH_SECONDS = 10.0
-
-
-@dataclass(frozen=True, slots=True)
-class Part:
-    """Tokens from `position` on, and the outcome behind the last one."""
-
-    position: int
-    tokens: list[str]
-    outcome: Outcome | None
+# ... or this time in which all hosts say that they don't know the request.
+_NOWHERE_SECONDS = 2.0
+# A reader is sent to other hosts if this one could release nothing for so long.
+_STALL_SECONDS = 5.0
 
 
 class Reader:
@@ -37,137 +29,145 @@
 
     def __init__(
         self,
-        host: Host,
         owned: dict[str, Run],
-        held: HeldRecords,
+        finder: Finder,
+        remote: RemoteReads,
         peers: PeerNetwork,
         timers: Timers,
-        directory: Directory,
     ):
-        self._host = host
         self._owned = owned
-        self._held = held
-        self._peers = peers
+        self._finder = finder
+        self._remote = remote
         self._timers = timers
-        self._directory = directory
+        peers.handle(journal_pb2.ReadAnswers, self._handle_reads)
 
     async def read(
         self, request_id: str, workspace: str, position: int
     ) -> AsyncIterator[Part]:
         """Yield the parts from `position` on; the last one has the outcome.
 
-        Raise `Failure` with `UNKNOWN_REQUEST` if no host knows the request.
+        Raise `Failure` with `UNKNOWN_REQUEST` if no host knows the request, and
+        with `NOT_READY` if the caller should go on reading at another host.
         """
+        owner = ""
         while True:
             run = self._owned.get(request_id)
             if run is not None and not run.is_lost:
-                part = await self._read_owned(run, workspace, position, _WAIT_SECONDS)
+                part = await self._read_owned(run, workspace, position)
             else:
-                part = await self._read_elsewhere(request_id, workspace, position)
+                owner = owner or await self._locate(request_id)
+                part = await self._read_remote(owner, request_id, workspace, position)
             if part is None:
+                owner = ""
                 continue
             position = part.position + len(part.tokens)
-            if part.tokens or part.outcome is not None:
-                yield part
+            yield part
             if part.outcome is not None:
                 return
 
-    async def handle_read(
-        self, message: journal_pb2.ReadAnswer, sender: str
-    ) -> journal_pb2.AnswerPart:
-        """Answer another host's read."""
-        run = self._owned.get(message.request_id)
-        if run is None or run.is_lost:
-            found = self._held.find(message.request_id)
-            owner = "" if found is None else found[1]
-            return journal_pb2.AnswerPart(is_found=False, owner=owner)
-        wait = min(message.wait, _WAIT_SECONDS)
-        part = await self._read_owned(run, message.workspace, message.position, wait)
-        if part is None:
-            return journal_pb2.AnswerPart(is_found=True, position=message.position)
-        outcome = b"" if part.outcome is None else msgspec.json.encode(part.outcome)
-        return journal_pb2.AnswerPart(
-            is_found=True, position=part.position, tokens=part.tokens, outcome=outcome
-        )
-
-    async def _read_owned(
-        self, run: Run, workspace: str, position: int, wait: float
-    ) -> Part | None:
+    async def _read_owned(self, run: Run, workspace: str, position: int) -> Part | None:
+        """Return what is new, None if the run is lost or nothing came in time."""
         if run.request.workspace != workspace:
             raise _unknown(run.id)
+        run.wanted.set()
         run.readers += 1
         try:
-            with self._timers.move_on_after(wait):
+            with self._timers.move_on_after(_WAIT_SECONDS):
                 while not _has_news(run, position) and not run.is_lost:
                     await run.wait_change()
-            if run.is_lost or not _has_news(run, position):
+            if run.is_lost:
                 return None
-            outcome = run.released_outcome
-            return Part(position, run.tokens[position : run.released], outcome)
+            if _has_news(run, position):
+                return _part_of(run, position)
+            self._check_stall(run)
+            return None
         finally:
             run.readers -= 1
             run.reader_left_at = self._timers.now()
 
-    async def _read_elsewhere(
-        self, request_id: str, workspace: str, position: int
+    async def _read_remote(
+        self, owner: str, request_id: str, workspace: str, position: int
     ) -> Part | None:
-        """Return the owner's next part, None if there was nothing new."""
-        give_up_at = self._timers.now() + _SEARCH_SECONDS
-        while self._timers.now() < give_up_at:
-            for peer in self._likely_hosts(request_id):
-                answer = await self._ask(peer, request_id, workspace, position)
-                if answer is None or not answer.is_found:
-                    continue
-                return _part_of(answer)
-            if self._is_owned_here(request_id):
-                return None
-            await self._timers.sleep(_RETRY_SECONDS)
-        raise _unknown(request_id)
-
-    def _is_owned_here(self, request_id: str) -> bool:
-        run = self._owned.get(request_id)
-        return run is not None and not run.is_lost
-
-    async def _ask(
-        self, peer: str, request_id: str, workspace: str, position: int
-    ) -> journal_pb2.AnswerPart | None:
-        message = journal_pb2.ReadAnswer(
-            request_id=request_id,
-            position=position,
-            workspace=workspace,
-            wait=_WAIT_SECONDS,
+        """Return what is new at the owner, None if it isn't the owner any more."""
+        read = journal_pb2.ReadAnswer(
+            request_id=request_id, position=position, workspace=workspace
         )
-        try:
-            return await self._peers.call(peer, message, _WAIT_SECONDS + _CALL_SECONDS)
-        except Failure as failure:
-            if failure.code is Code.UNKNOWN_REQUEST:
-                raise
-            return None
+        part = await self._remote.read(owner, read)
+        if part is None:
+            await self._timers.sleep(_RETRY_SECONDS)
+        return part
+
+    def _check_stall(self, run: Run) -> None:
+        since = run.stalled_since
+        if since is not None and self._timers.now() - since > _STALL_SECONDS:
+            raise Failure(
+                Code.NOT_READY,
+                "This host is cut off; read on at another entry host.",
+                execution=Execution.MAY_HAVE_RUN,
+                retry_after=1.0,
+            )
+
+    async def _locate(self, request_id: str) -> str:
+        """Return the name of the request's owner."""
+        started_at = known_at = self._timers.now()
+        while True:
+            found = await self._finder.find(request_id)
+            if found.is_owned:
+                return found.owner
+            now = self._timers.now()
+            if found.whereabouts is not Whereabouts.NOWHERE:
+                known_at = now
+            if now - known_at > _NOWHERE_SECONDS or now - started_at > _SEARCH_SECONDS:
+                raise _not_found(request_id, found.whereabouts)
+            await self._timers.sleep(_RETRY_SECONDS)
 
-    def _likely_hosts(self, request_id: str) -> list[str]:
-        """Return the other hosts, those first that the id points at."""
-        hosts = [
-            host
-            for host in self._directory.entry_hosts()
-            if host.name != self._host.name
-        ]
-        names = [host.name for host in rank_hosts(hosts, request_id)]
-        found = self._held.find(request_id)
-        first = found[1] if found is not None else request_id.split(".")[0]
-        return sorted(names, key=lambda name: name != first)
+    async def _handle_reads(
+        self, message: journal_pb2.ReadAnswers, sender: str
+    ) -> journal_pb2.AnswerParts:
+        parts = [self._answer(read) for read in message.reads]
+        return journal_pb2.AnswerParts(parts=parts)
+
+    def _answer(self, read: journal_pb2.ReadAnswer) -> journal_pb2.AnswerPart:
+        run = self._owned.get(read.request_id)
+        if run is None or run.is_lost:
+            return journal_pb2.AnswerPart()
+        if run.request.workspace != read.workspace:
+            outcome = msgspec.json.encode(_unknown_outcome(run.id))
+            return journal_pb2.AnswerPart(is_owned=True, outcome=outcome)
+        run.wanted.set()
+        run.reader_left_at = self._timers.now()
+        part = journal_pb2.AnswerPart(is_owned=True, position=read.position)
+        if _has_news(run, read.position):
+            news = _part_of(run, read.position)
+            part.tokens.extend(news.tokens)
+            if news.outcome is not None:
+                part.outcome = msgspec.json.encode(news.outcome)
+        return part
 
 
 def _has_news(run: Run, position: int) -> bool:
     return run.released > position or run.released_outcome is not None
 
 
-def _part_of(answer: journal_pb2.AnswerPart) -> Part | None:
-    outcome = None
-    if answer.outcome:
-        outcome = msgspec.json.decode(answer.outcome, type=Outcome)
-    if not answer.tokens and outcome is None:
-        return None
-    return Part(answer.position, list(answer.tokens), outcome)
+def _part_of(run: Run, position: int) -> Part:
+    tokens = run.tokens[position : run.released]
+    return Part(position, tokens, run.released_outcome)
+
+
+def _not_found(request_id: str, whereabouts: Whereabouts) -> Failure:
+    if whereabouts is not Whereabouts.HELD:
+        return _unknown(request_id)
+    return Failure(
+        Code.NOT_READY,
+        f"{request_id} waits for its takeover; ask again.",
+        execution=Execution.MAY_HAVE_RUN,
+        retry_after=1.0,
+    )
+
+
+def _unknown_outcome(request_id: str) -> Outcome:
+    failure = _unknown(request_id)
+    return Outcome(code=failure.code, text=failure.text, execution=failure.execution)
 
 
 def _unknown(request_id: str) -> Failure:
--- a/src/pepperstep/requests/run.py
+++ b/src/pepperstep/requests/run.py
@@ -3,6 +3,7 @@
 import msgspec
 import trio
 
+from pepperstep.claims import Claim
 from pepperstep.entities import Outcome, Request
 from pepperstep.proto import journal_pb2
 
@@ -12,8 +13,9 @@
 class Run:
     """A request with the tokens generated so far and its outcome.
 
-    Tokens and outcome reach readers only once the second host has them, so
-    whoever owns the request later goes on from what its caller has seen.
+    Tokens and outcome reach readers only once the second host has them and no
+    other host can take the request over, so whoever owns the request later goes
+    on from what its caller has seen.
     """
 
     def __init__(self, request: Request, epoch: int = 1):
@@ -25,16 +27,33 @@
         self.upstream = ""
         # Whether a byte of the request may have reached an upstream.
         self.is_dispatched = False
+        # Claim under which this host may run what isn't repeatable.
+        self.claim: Claim | None = None
         # Upstreams that died without notice while they ran this request.
         self.lost_upstreams: list[str] = []
         self.outcome: Outcome | None = None
-        # Whether another host has become the owner.
+        # Grows with each change that the second host is to know.
+        self.version = 0
+        # Whether another host has become the owner, and which one if known.
         self.is_lost = False
+        self.taken_by = ""
+        # False once the run has ended and no second need keep it any more.
+        self.is_kept = True
+        # Earlier links whose second may still take the request over.
+        self.priors: list[journal_pb2.Link] = []
+        # Monotonic time since which nothing can be released, None if it can.
+        self.stalled_since: float | None = None
         # Readers now, and when the last one left (monotonic seconds).
         self.readers = 0
         self.reader_left_at = 0.0
+        # Set once somebody has asked for the answer, or it is to be stopped.
+        self.wanted = trio.Event()
         # Stops the work of this host on the request.
         self.scope = trio.CancelScope()
+        self._is_recorded = False
+        self._acknowledged = 0
+        self._acknowledged_version = -1
+        self._is_outcome_acknowledged = False
         self._released = 0
         self._is_outcome_released = False
         self._changed = trio.Event()
@@ -68,6 +87,16 @@
         """The outcome once readers may have it."""
         return self.outcome if self._is_outcome_released else None
 
+    @property
+    def is_recorded(self) -> bool:
+        """Whether the present second host has a record of the request."""
+        return self._is_recorded
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the present second has all, and no other host can take over."""
+        return self._is_in_force and self._acknowledged_version >= self.version
+
     def to_record(self) -> journal_pb2.RequestRecord:
         """Return the whole state as a record for the second host."""
         return journal_pb2.RequestRecord(
@@ -80,6 +109,7 @@
             outcome=self._encode_outcome(),
             is_dispatched=self.is_dispatched,
             lost_upstreams=self.lost_upstreams,
+            priors=self.priors,
         )
 
     def to_checkpoint(self, position: int) -> journal_pb2.Checkpoint:
@@ -95,23 +125,76 @@
             lost_upstreams=self.lost_upstreams,
         )
 
-    def release(self, token_count: int, has_outcome: bool) -> None:
-        """Let readers have the first `token_count` tokens, and the outcome."""
-        self._released = max(self._released, token_count)
-        if has_outcome:
-            self._is_outcome_released = True
+    def hold(self, prior: journal_pb2.Link, now: float) -> None:
+        """Release nothing until another second has the run and `prior` is dropped."""
+        self.priors.append(prior)
+        self._is_recorded = False
+        self._acknowledged_version = -1
+        if self.stalled_since is None:
+            self.stalled_since = now
+
+    def settle(self, prior: journal_pb2.Link) -> None:
+        """Note that the agreed log has dropped the link `prior`."""
+        self.priors.remove(prior)
+        self._publish()
+
+    def acknowledge(self, token_count: int, has_outcome: bool, version: int) -> None:
+        """Note what the present second host has."""
+        self._is_recorded = True
+        self._acknowledged = max(self._acknowledged, token_count)
+        self._acknowledged_version = version
+        self._is_outcome_acknowledged |= has_outcome
+        self._publish()
+
+    def refuse(self, outcome: Outcome) -> None:
+        """End a run that wasn't accepted; its readers get `outcome` at once."""
+        self.outcome = outcome
+        self._is_outcome_released = True
         self._notify()
 
-    def lose(self) -> None:
+    def stop(self) -> None:
+        """Stop the work on this host."""
+        self.scope.cancel()
+        self.wanted.set()
+
+    def lose(self, taken_by: str = "") -> None:
         """Stop the work on this host, as another one owns the request."""
         self.is_lost = True
-        self.scope.cancel()
+        self.taken_by = taken_by
+        self.stop()
+        self._notify()
+
+    def forget(self) -> None:
+        """Note that no second need keep the run any more."""
+        self.is_kept = False
         self._notify()
 
     async def wait_change(self) -> None:
         """Return after the next release, or when the run is lost."""
         await self._changed.wait()
 
+    async def wait_recorded(self) -> None:
+        """Return once the present second has a record, or none need have it."""
+        while not self._is_recorded and self.is_kept and not self.is_lost:
+            await self._changed.wait()
+
+    async def wait_confirmed(self) -> None:
+        """Return once the run `is_confirmed`, or never will be."""
+        while not self.is_confirmed and self.is_kept and not self.is_lost:
+            await self._changed.wait()
+
+    @property
+    def _is_in_force(self) -> bool:
+        """Whether what the present second has counts."""
+        return self._is_recorded and not self.priors
+
+    def _publish(self) -> None:
+        if self._is_in_force:
+            self.stalled_since = None
+            self._released = self._acknowledged
+            self._is_outcome_released |= self._is_outcome_acknowledged
+        self._notify()
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
--- a/tests/requests/entry_hosts.py
+++ b/tests/requests/entry_hosts.py
@@ -1,12 +1,13 @@
 """Entry hosts in one process, for tests of requests."""
 
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 import trio
 
+from pepperstep.claims import MACHINE_NAME, ClaimMachine, Claims, HostIdentity
 from pepperstep.entities import (
     Host,
     ModelKey,
@@ -15,6 +16,7 @@
     Request,
     RequestKind,
 )
+from pepperstep.errors import Failure
 from pepperstep.fakes import (
     FakeAgreement,
     FakeDirectory,
@@ -22,6 +24,7 @@
     FakeLog,
     FakeNetwork,
     FakePeers,
+    FakeService,
     FakeTimers,
     FakeUpstreams,
 )
@@ -41,16 +44,42 @@
     peers: FakePeers
     service: RequestService
     scope: trio.CancelScope
+    nursery: trio.Nursery | None = None
+
+
+class HostCrashed(Exception):
+    """The host died before it answered a caller."""
+
+
+class Directory(FakeDirectory):
+    """Directory in which a host that was gone comes back by a new life."""
+
+    def __init__(self, hosts: list[Host]):
+        super().__init__(hosts)
+        self.lives: dict[str, int] = {}
+
+    def entry_hosts(self) -> list[Host]:
+        """Return the hosts whose present life is neither gone nor leaving."""
+        return [
+            host
+            for name, host in self.hosts.items()
+            if not self.is_gone(name, self.lives.get(name, 0))
+            and name not in self.leaving
+        ]
 
 
 class Hosts:
-    """Entry hosts that share a network, a log and upstreams."""
+    """Entry hosts that share a network, a log and upstreams.
+
+    They cross-check all that callers read: one token at each position.
+    """
 
     def __init__(self, count: int = 3, engines: int = 3):
         self.rng = random.Random(7)
         self.network = FakeNetwork(random.Random(8))
         self.log = FakeLog()
         self.log.register(LINK_MACHINE, LinkMachine())
+        self.log.register(MACHINE_NAME, ClaimMachine())
         self.upstreams = FakeUpstreams(
             [FakeEngine(f"engine-{n}", ZONES[n % 3], KEY) for n in range(engines)]
         )
@@ -58,7 +87,10 @@
             Host(f"entry-{n}", f"entry-{n}", "", ZONES[n % 3], "region", "kitahara")
             for n in range(count)
         ]
-        self.directory = FakeDirectory(hosts)
+        self.upstreams.add(FakeService("quote-0", "quote-api", ZONES[0]))
+        self.upstreams.add(FakeService("quote-1", "quote-api", ZONES[1]))
+        self.directory = Directory(hosts)
+        self.seen: dict[tuple[str, int], str] = {}
         self.all: dict[str, EntryHost] = {}
         self._nursery: trio.Nursery | None = None
         self._incarnation = 0
@@ -77,28 +109,45 @@
     async def start_host(self, name: str) -> None:
         """Start a life of a host."""
         self._incarnation += 1
+        self.directory.lives[name] = self._incarnation
         await self._nursery.start(self._run_host, name, self._incarnation)
 
     async def _run_host(self, name: str, incarnation: int, task_status) -> None:
         async with trio.open_nursery() as nursery:
             timers = FakeTimers(random.Random(incarnation))
             peers = FakePeers(name, self.network, timers, nursery)
+            agreement = FakeAgreement(name, self.log)
+            identity = HostIdentity(name, incarnation)
+            claims = Claims(lambda: identity, agreement, timers, lambda: 1000.0)
+            view, options = self.extend(name, incarnation, peers, timers)
             service = RequestService(
                 self.directory.hosts[name],
                 incarnation,
                 peers,
                 timers,
                 self.directory,
-                FakeAgreement(name, self.log),
-                Router(self.upstreams, timers),
+                agreement,
+                Router(view, timers),
                 self.upstreams,
+                claims=claims,
+                **options,
             )
+            await nursery.start(claims.run)
+            await nursery.start(service.run)
             self.all[name] = EntryHost(
-                self.directory.hosts[name], timers, peers, service, nursery.cancel_scope
+                self.directory.hosts[name],
+                timers,
+                peers,
+                service,
+                nursery.cancel_scope,
+                nursery,
             )
-            await nursery.start(service.run)
             task_status.started()
 
+    def extend(self, name: str, incarnation: int, peers: FakePeers, timers: FakeTimers):
+        """Return the router's view and more options of a host's service."""
+        return self.upstreams, {}
+
     def crash(self, name: str) -> None:
         """End a host's life without notice."""
         self.network.detach(name)
@@ -106,7 +155,59 @@
 
     def declare_gone(self, name: str) -> None:
         """Let all hosts know that a host's life has ended."""
-        self.directory.gone[name] = self._incarnation
+        self.directory.gone[name] = self.directory.lives[name]
+
+    def lose_host(self, name: str) -> None:
+        """Crash a host, and let all others know."""
+        self.crash(name)
+        self.declare_gone(name)
+
+    def second_of(self, request_id: str) -> str:
+        """Return the host that holds a request as second."""
+        return next(
+            name
+            for name, entry in self.all.items()
+            if entry.service._held.owner_of(request_id)
+        )
+
+    def owner_of(self, request_id: str) -> str:
+        """Return the host that owns a request."""
+        return next(
+            name
+            for name, entry in self.all.items()
+            if (run := entry.service._owned.get(request_id)) and not run.is_lost
+        )
+
+    async def call(
+        self, name: str, function: Callable[[RequestService], Awaitable]
+    ) -> object:
+        """Return what a call at a host returns; raise `HostCrashed` if it dies."""
+        if name not in self.all:
+            raise HostCrashed
+        entry = self.all[name]
+        results: list[object] = []
+        done = trio.Event()
+        scope = trio.CancelScope()
+
+        async def run() -> None:
+            try:
+                with scope:
+                    results.append(await function(entry.service))
+            except Failure as failure:
+                results.append(failure)
+            finally:
+                done.set()
+
+        entry.nursery.start_soon(run)
+        try:
+            await done.wait()
+        finally:
+            scope.cancel()
+        if not results:
+            raise HostCrashed
+        if isinstance(results[0], Failure):
+            raise results[0]
+        return results[0]
 
     def request(self, host: str = "entry-0", number: int = 0, **changes) -> Request:
         """Return a request for the engines, to be submitted at `host`."""
@@ -116,7 +217,7 @@
             "kind": RequestKind.CHAT,
             "target": "zaseki-model",
             "priority": Priority.INTERACTIVE,
-            "deadline": self.all[host].timers.wall() + 300,
+            "deadline": FakeTimers().wall() + 300,
             "model_key": KEY,
             "prompt": f"Seat the guests of table {number}.",
             "max_tokens": 50,
@@ -124,21 +225,70 @@
         }
         return Request(**(values | changes))
 
+    def quote(self, host: str = "entry-0", number: int = 0, **changes) -> Request:
+        """Return a request for the plain service that may run only once."""
+        body = changes.pop("body", f"quote {number}".encode())
+        values = {
+            "kind": RequestKind.SERVICE,
+            "target": "quote-api",
+            "is_repeatable": False,
+            "idempotency_key": f"key-{number}",
+            "fingerprint": body.decode(),
+            "body": body,
+        }
+        return self.request(host, number, **(values | changes))
+
+    def runs_of(self, request: Request) -> int:
+        """Return how often the plain services ran a request's body."""
+        services = (each for each in self.upstreams.all.values())
+        return sum(
+            each.runs[request.body]
+            for each in services
+            if isinstance(each, FakeService)
+        )
+
+    async def outcome_of(self, host: str, request: Request) -> Outcome:
+        """Submit a request and return how it ended, a refusal included."""
+        try:
+            submitted = await self.all[host].service.submit(request)
+            return (await self.read(host, submitted.id))[1]
+        except Failure as failure:
+            return Outcome(code=failure.code, execution=failure.execution)
+
     async def read(
         self, host: str, request_id: str, position: int = 0, limit: int | None = None
     ) -> tuple[list[str], Outcome | None]:
         """Read an answer at `host` to its end, or up to `limit` tokens."""
         tokens: list[str] = []
-        service = self.all[host].service
+        outcome = await self.read_into(
+            tokens, self.all[host].service, request_id, position, limit
+        )
+        return tokens, outcome
+
+    async def read_into(
+        self,
+        tokens: list[str],
+        service: RequestService,
+        request_id: str,
+        position: int,
+        limit: int | None = None,
+    ) -> Outcome | None:
+        """Append an answer's tokens from `position` on as they come."""
         parts = service.read(request_id, "planners", position)
         try:
             async for part in parts:
-                assert part.position == position + len(tokens)
+                assert part.position == position
+                self._check_seen(request_id, part.position, part.tokens)
                 tokens += part.tokens
-                if part.outcome is not None:
-                    return tokens, part.outcome
-                if limit is not None and len(tokens) >= limit:
-                    return tokens, None
+                position += len(part.tokens)
+                is_enough = limit is not None and len(tokens) >= limit
+                if part.outcome is not None or is_enough:
+                    return part.outcome
         finally:
             await parts.aclose()
         raise AssertionError("The answer has no end.")
+
+    def _check_seen(self, request_id: str, position: int, tokens: list[str]) -> None:
+        for offset, token in enumerate(tokens):
+            place = (request_id, position + offset)
+            assert self.seen.setdefault(place, token) == token, place
