Fakes tell each step of a host before it is taken

The network, the disk, the upstreams and the cloud of each life of a host now call subscribers first. A host that a subscriber ends takes no step more, also on its disk, and one that is paused waits with chunks, calls and writes, which went on before. Callers' calls end with the host's life, a drain waits for them as the daemon does, and each revision that a host comes to serve is kept.

--- a/src/pepperstep/fakes/hosts.py
+++ b/src/pepperstep/fakes/hosts.py
@@ -1,22 +1,33 @@
 """Whole hosts in one process, on fakes of all that is outside."""
 
 import random
-from collections.abc import AsyncIterator
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
+from typing import Any
 
 import tomli_w
 import trio
+from google.protobuf.message import Message
 
 from pepperstep.configuration import BASE, Change, hash_key
 from pepperstep.entities import Outcome, Priority, Request, RequestKind
 from pepperstep.errors import Failure
 from pepperstep.fakes.network import FakeNetwork, FakePeers
+from pepperstep.fakes.steps import (
+    LifeCloud,
+    LifeDisk,
+    LifeUpstreams,
+    Step,
+    StepKind,
+    Steps,
+)
 from pepperstep.fakes.storage import FakeDisk
 from pepperstep.fakes.timers import FakeTimers
 from pepperstep.fakes.upstreams import FakeUpstreams
 from pepperstep.node import Node, Policies, Ports
-from pepperstep.ports import Cloud
+from pepperstep.ports import Cloud, WeightStore
 from pepperstep.settings import (
     ControlSettings,
     HostSettings,
@@ -25,10 +36,26 @@
     Settings,
 )
 
-__all__ = ["FakeHost", "FakeHosts", "HostPlace"]
+__all__ = ["FakeHost", "FakeHosts", "HostLost", "HostPlace", "Served"]
 
 _HEARTBEAT_SECONDS = 1.0
 _CHANGE_SECONDS = 5.0
+_DRAIN_POLL_SECONDS = 0.1
+
+
+class HostLost(Exception):
+    """A host's life ended before it answered a caller."""
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """Revision of the configuration that a host came to serve."""
+
+    time: float
+    host: str
+    revision: int
+    # Whether the host may serve it; False before it knows the agreed revision.
+    is_ready: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +76,7 @@
     node: Node
     timers: FakeTimers
     scope: trio.CancelScope
+    nursery: trio.Nursery
 
 
 class FakeHosts:
@@ -61,6 +89,7 @@
         base: dict,
         *,
         cloud: Cloud | None = None,
+        weights: WeightStore | None = None,
         seed: int = 1,
         policies: Policies | None = None,
         is_announcing: bool = True,
@@ -70,8 +99,15 @@
         self.network = FakeNetwork(random.Random(seed))
         self.disks = {place.name: FakeDisk() for place in places if place.is_control}
         self.hosts: dict[str, FakeHost] = {}
+        # What hosts do towards the outside, and what they came to serve.
+        self.steps = Steps()
+        self.served: list[Served] = []
+        # Callers that wait for an answer of each host.
+        self.calling: Counter[str] = Counter()
+        self.network.before = self._note_message
         self._base = base
         self._cloud = cloud
+        self._weights = weights
         self._policies = policies
         # False where the caller announces the upstreams itself.
         self._is_announcing = is_announcing
@@ -113,6 +149,8 @@
         node = self.hosts[name].node
         node.start_drain()
         await node.drain()
+        while self.calling[name]:
+            await trio.sleep(_DRAIN_POLL_SECONDS)
         await node.depart()
         self.crash(name)
 
@@ -141,6 +179,39 @@
         """Send an operator's change to a host and return its answer."""
         return await self.hosts[host].node.store.apply_change(change, _CHANGE_SECONDS)
 
+    async def call(self, name: str, function: Callable[[Node], Awaitable]) -> Any:
+        """Return what a call at a host returns; raise `HostLost` if it ends."""
+        host = self.hosts.get(name)
+        if host is None:
+            raise HostLost(name)
+        results: list[Any] = []
+        done = trio.Event()
+        scope = trio.CancelScope()
+
+        async def run() -> None:
+            try:
+                with scope:
+                    await host.timers.wait_running()
+                    results.append(await function(host.node))
+                    await host.timers.wait_running()
+            except Failure as failure:
+                results.append(failure)
+            finally:
+                done.set()
+
+        self.calling[name] += 1
+        host.nursery.start_soon(run)
+        try:
+            await done.wait()
+        finally:
+            scope.cancel()
+            self.calling[name] -= 1
+        if not results or self.hosts.get(name) is not host:
+            raise HostLost(name)
+        if isinstance(results[0], Failure):
+            raise results[0]
+        return results[0]
+
     def request(self, host: str, number: int = 0, **changes) -> Request:
         """Return a request to be submitted at `host`."""
         node = self.hosts[host].node
@@ -186,22 +257,37 @@
             rng = random.Random(self._rng.random())
             timers = FakeTimers(rng)
             peers = FakePeers(name, self.network, timers, nursery)
-            node = Node(
-                self._settings_of(self.places[name]),
-                Ports(
-                    timers,
-                    peers,
-                    self.upstreams,
-                    rng,
-                    self.disks.get(name),
-                    self._cloud,
-                ),
-                self._policies,
-            )
-            self.hosts[name] = FakeHost(node, timers, nursery.cancel_scope)
+            ports = self._ports_of(name, timers, peers, rng)
+            node = Node(self._settings_of(self.places[name]), ports, self._policies)
+            self.hosts[name] = FakeHost(node, timers, nursery.cancel_scope, nursery)
+            node.store.subscribe(lambda _: self._note_served(name, node))
             await nursery.start(node.run)
+            nursery.start_soon(self._note_ready, name, node)
             task_status.started()
 
+    def _ports_of(
+        self, name: str, timers: FakeTimers, peers: FakePeers, rng: random.Random
+    ) -> Ports:
+        storage = cloud = None
+        if name in self.disks:
+            storage = LifeDisk(name, timers, self.steps, self.disks[name])
+        if self._cloud is not None:
+            cloud = LifeCloud(name, timers, self.steps, self._cloud)
+        upstreams = LifeUpstreams(name, timers, self.steps, self.upstreams)
+        return Ports(timers, peers, upstreams, rng, storage, cloud, self._weights)
+
+    def _note_message(self, sender: str, receiver: str, message: Message) -> None:
+        self.steps.note(Step(StepKind.SEND, sender, receiver, message))
+
+    def _note_served(self, name: str, node: Node) -> None:
+        store = node.store
+        served = Served(trio.current_time(), name, store.revision, store.is_ready)
+        self.served.append(served)
+
+    async def _note_ready(self, name: str, node: Node) -> None:
+        await node.store.wait_ready()
+        self._note_served(name, node)
+
     def _settings_of(self, place: HostPlace) -> Settings:
         names = list(self.places)
         return Settings(
--- a/src/pepperstep/fakes/network.py
+++ b/src/pepperstep/fakes/network.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Callable
 
 import trio
 from google.protobuf.message import Message
@@ -30,6 +31,8 @@
         # Messages and answers sent, by kind.
         self.sent: Counter[str] = Counter()
         self.bytes_sent: Counter[str] = Counter()
+        # Called with sender, receiver and message before each is sent.
+        self.before: Callable[[str, str, Message], None] | None = None
         self._peers: dict[str, FakePeers] = {}
         self._cuts: set[tuple[str, str]] = set()
 
@@ -60,8 +63,14 @@
         """Whether messages on this way are lost now."""
         return (sender, receiver) in self._cuts
 
-    def count(self, message: Message, data: bytes) -> None:
+    def has(self, peers: "FakePeers") -> bool:
+        """Whether this life of a host is attached."""
+        return self._peers.get(peers.name) is peers
+
+    def count(self, sender: str, receiver: str, message: Message, data: bytes) -> None:
         """Count a message or an answer as sent."""
+        if self.before is not None:
+            self.before(sender, receiver, message)
         kind = message.DESCRIPTOR.name
         self.sent[kind] += 1
         self.bytes_sent[kind] += len(data)
@@ -102,7 +111,7 @@
         """Return the answer of `peer`, or raise `Failure`."""
         await self._timers.wait_running()
         data = codec.encode(message, self.name)
-        self._network.count(message, data)
+        self._network.count(self.name, peer, message, data)
         answer: bytes | None = None
         with trio.move_on_after(timeout):
             answer = await self._exchange(peer, data)
@@ -123,7 +132,7 @@
         except Failure as failure:
             return codec.encode_failure(failure, self.name)
         data = codec.encode(answer, self.name)
-        self._network.count(answer, data)
+        self._network.count(self.name, sender, answer, data)
         return data
 
     async def _exchange(self, peer: str, data: bytes) -> bytes:
@@ -150,4 +159,6 @@
         self, data: bytes, answers: trio.MemorySendChannel[bytes]
     ) -> None:
         answer = await self.receive(data)
-        answers.send_nowait(answer)
+        # A host that died just before this answer doesn't send it.
+        if self._network.has(self):
+            answers.send_nowait(answer)
