Hosts share the registry of upstreams; leases carry a token

Cause: each host knew only the upstreams that announced themselves to it, and a heartbeat that was long under way renewed a lease as of its arrival. Changed: the registry of membership in place of the stub; announcement and answer carry its token, optional for upstreams.

--- a/src/pepperstep/adapters/http_api/announcements.py
+++ b/src/pepperstep/adapters/http_api/announcements.py
@@ -7,6 +7,7 @@
 from pepperstep.adapters.http_api.web import decode_body
 from pepperstep.entities import Load, ModelKey, Role, Upstream, UpstreamKind
 from pepperstep.errors import Code, Failure
+from pepperstep.membership import Lease
 
 __all__ = ["Announcement", "AnnouncementAnswer", "parse_announcement"]
 
@@ -64,6 +65,9 @@
     is_leaving: bool = False
     checks_fencing: bool = True
     is_reclaimable: bool = True
+    # Token of the last lease that this entry host gave, and how long it was held.
+    token: _Label = ""
+    held_seconds: _Seconds = 0.0
 
     def to_upstream(self) -> Upstream:
         """Return the upstream that announces itself."""
@@ -92,8 +96,24 @@
     """What an upstream is told."""
 
     lease_seconds: float
+    heartbeat_seconds: float
     # Base URLs at which it may announce itself.
     entry_hosts: list[str]
+    # False for a heartbeat that came late; the upstream announces again at once.
+    is_renewed: bool
+    # To send back to this entry host with the next heartbeat.
+    token: str
+
+    @classmethod
+    def from_lease(cls, lease: Lease, entry_hosts: list[str]) -> "AnnouncementAnswer":
+        """Return the answer for a lease."""
+        return cls(
+            lease.seconds,
+            lease.heartbeat_period,
+            entry_hosts,
+            lease.is_renewed,
+            lease.token,
+        )
 
 
 _decode = msgspec.json.Decoder(Announcement).decode
--- a/src/pepperstep/adapters/http_api/app.py
+++ b/src/pepperstep/adapters/http_api/app.py
@@ -118,10 +118,13 @@
         body = await call.read_body(_MAX_ANNOUNCEMENT_BYTES, self._node.timers)
         announcement = parse_announcement(body)
         lease = self._node.registry.announce(
-            announcement.to_upstream(), announcement.sequence
+            announcement.to_upstream(),
+            announcement.sequence,
+            announcement.token,
+            announcement.held_seconds,
         )
         urls = [host.caller_url for host in entry_hosts_near(self._node)]
-        return json_reply(AnnouncementAnswer(lease, urls))
+        return json_reply(AnnouncementAnswer.from_lease(lease, urls))
 
     async def _answer_health(self, call: Call) -> Reply:
         return json_reply({"status": "ok"})
--- a/src/pepperstep/adapters/http_api/ports.py
+++ b/src/pepperstep/adapters/http_api/ports.py
@@ -9,6 +9,7 @@
 
 from pepperstep.configuration import Change, ChangeAnswer, Configuration
 from pepperstep.entities import Host, Request, Upstream
+from pepperstep.membership import Lease
 from pepperstep.observability import (
     EventLog,
     Explanations,
@@ -58,8 +59,10 @@
 class UpstreamRegistry(Protocol):
     """Leases of upstreams."""
 
-    def announce(self, upstream: Upstream, sequence: int) -> float:
-        """Renew a lease and return its length in seconds."""
+    def announce(
+        self, upstream: Upstream, sequence: int, token: str = "", held: float = 0.0
+    ) -> Lease:
+        """Renew a lease; `token` came with the last one, `held` seconds ago."""
 
 
 class EntryNode(Protocol):
--- a/src/pepperstep/node.py
+++ b/src/pepperstep/node.py
@@ -12,8 +12,7 @@
 from pepperstep.consensus import Consensus, RemoteAgreement
 from pepperstep.errors import Code, Failure
 from pepperstep.fleet import Fleet, FleetPorts
-from pepperstep.local_registry import UpstreamRegistry
-from pepperstep.membership import Membership, Seed
+from pepperstep.membership import Membership, Seed, UpstreamRegistry
 from pepperstep.observability import EventLog, Explanations, Metrics
 from pepperstep.operations import Operations
 from pepperstep.ports import (
@@ -108,7 +107,7 @@
             lambda: self.configuration.limits.claim_seconds,
         )
         self.registry = UpstreamRegistry.from_config(
-            self.host, self.directory, ports.peers, ports.timers, ports.rng
+            self.host, self.directory.hosts, ports.peers, ports.timers, ports.rng
         )
         self._recovery = Recovery.from_ports(
             self.host.name,
--- a/src/pepperstep/operations.py
+++ b/src/pepperstep/operations.py
@@ -6,8 +6,7 @@
 from pepperstep.consensus import Consensus, MemberStatus, RemoteAgreement
 from pepperstep.entities import Host, ModelKey, Upstream
 from pepperstep.errors import Code, Failure
-from pepperstep.local_registry import UpstreamRegistry
-from pepperstep.membership import Member, Membership, MemberState
+from pepperstep.membership import Member, Membership, MemberState, UpstreamRegistry
 from pepperstep.observability import (
     EventLog,
     Explanations,
--- a/standins/announcing.py
+++ b/standins/announcing.py
@@ -22,23 +22,35 @@
     `describe` returns the announcement as it's now, without its sequence number.
     """
     sequence = 0
+    # The last lease of each entry host, and when it came.
+    leases: dict[str, tuple[str, float]] = {}
     async with httpcore.AsyncConnectionPool() as pool:
         while True:
             for url in entry_hosts:
                 sequence += 1
-                content = msgspec.json.encode({**describe(), "sequence": sequence})
+                token, came_at = leases.pop(url, ("", trio.current_time()))
+                message = {
+                    **describe(),
+                    "sequence": sequence,
+                    "token": token,
+                    "held_seconds": trio.current_time() - came_at,
+                }
                 with trio.move_on_after(_ANSWER_SECONDS):
-                    await _announce_at(pool, url, key, content)
+                    token = await _announce_at(pool, url, key, message)
+                    leases[url] = (token, trio.current_time())
             await trio.sleep(heartbeat_seconds)
 
 
 async def _announce_at(
-    pool: httpcore.AsyncConnectionPool, url: str, key: str, content: bytes
-) -> None:
+    pool: httpcore.AsyncConnectionPool, url: str, key: str, message: dict
+) -> str:
+    """Return the token of the lease, "" if there is none."""
     headers = {"authorization": f"Bearer {key}"}
+    content = msgspec.json.encode(message)
     try:
-        await pool.request(
+        answer = await pool.request(
             "POST", f"{url}/upstreams/v1/announce", headers=headers, content=content
         )
     except (httpcore.NetworkError, httpcore.ProtocolError):
-        return
+        return ""
+    return msgspec.json.decode(answer.content).get("token", "")
--- a/tests/api/fake_node.py
+++ b/tests/api/fake_node.py
@@ -24,6 +24,7 @@
 from pepperstep.entities import Host, Outcome, Request, RequestKind, ServiceAnswer
 from pepperstep.errors import Code, Failure
 from pepperstep.fakes import FakeTimers
+from pepperstep.membership import Lease
 from pepperstep.observability import (
     EventLog,
     Explanations,
@@ -176,7 +177,7 @@
         self.host = _host(name, "dosanko")
         self.all_hosts = [self.host, _host("entry-1", "dosanko"), _host("far", "ncr")]
         self.directory = SimpleNamespace(entry_hosts=lambda: self.all_hosts)
-        self.announced: list[tuple[Any, int]] = []
+        self.announced: list[tuple[Any, int, str, float]] = []
         self.registry = SimpleNamespace(announce=self._announce)
         self.requests = FakeRequests(self.timers)
         self.store = FakeStore()
@@ -221,9 +222,9 @@
             raise Failure(Code.UNKNOWN_NAME, f"No host {host} is known.")
         self.drained.append(host)
 
-    def _announce(self, upstream: Any, sequence: int) -> float:
-        self.announced.append((upstream, sequence))
-        return 3.0
+    def _announce(self, upstream: Any, sequence: int, token: str, held: float) -> Lease:
+        self.announced.append((upstream, sequence, token, held))
+        return Lease(3.0, 1.0, True, "token-2")
 
 
 @dataclass
--- a/tests/api/test_announcements.py
+++ b/tests/api/test_announcements.py
@@ -23,13 +23,18 @@
 
 async def test_announcement_renews_a_lease(autojump_clock):
     node = FakeNode()
-    answer = await ask(node.api(), "POST", PATH, ANNOUNCEMENT, key=UPSTREAM_KEY)
+    sent = {**ANNOUNCEMENT, "token": "token-1", "held_seconds": 0.9}
+    answer = await ask(node.api(), "POST", PATH, sent, key=UPSTREAM_KEY)
     assert answer.json == {
         "lease_seconds": 3.0,
+        "heartbeat_seconds": 1.0,
         "entry_hosts": ["http://entry-0", "http://entry-1"],
+        "is_renewed": True,
+        "token": "token-2",
     }
-    ((upstream, sequence),) = node.announced
+    ((upstream, sequence, token, held),) = node.announced
     assert (upstream.name, upstream.epoch, sequence) == ("engine-0", 7, 3)
+    assert (token, held) == ("token-1", 0.9)
     assert upstream.models == {ModelKey("zaseki-7b", "", "1")}
     assert (upstream.kind, upstream.role) == (UpstreamKind.ENGINE, Role.DECODE)
     assert upstream.load == Load(running=2, decode_seconds=0.03)
