Messages of leaders and candidates, one by one

candidate's own promise, the sync at load, and proposals that wait after the end of a leadership. Left: two copies of a waiting proposal may both enter the log; the table of answers holds that only one is carried out.

--- a/tests/consensus/test_files.py
+++ b/tests/consensus/test_files.py
@@ -204,6 +204,22 @@
     assert await files.read() == [(3, b"c31")]
 
 
+async def test_entries_that_were_read_are_durable():
+    """A process that died before its sync may have left more than is durable."""
+    files = Files()
+    await files.fill()
+    log = _last_log(await files.disk.names())
+    data = await files.disk.read(log)
+    batch = pb.LogBatch(first_index=31, entries=[_entry(2, 131)])
+    payload = batch.SerializeToString()
+    frame = encode_frame(5, payload, int(log.split("-")[-1]), len(data))
+    await files.disk.append(log, frame)
+    entries = await files.read()
+    assert entries[-1] == (2, b"c131")
+    files.disk.crash()
+    assert await files.read() == entries
+
+
 @pytest.mark.parametrize("start", range(8, 24))
 @pytest.mark.parametrize("trim", [14, 18, 22])
 async def test_overruled_before_the_segment(start, trim):
--- a/tests/consensus/test_log.py
+++ b/tests/consensus/test_log.py
@@ -88,6 +88,7 @@
             await cluster.restart(cluster.leader)
             await cluster.wait_leader()
             assert cluster.consensus(old).leader != old
+            assert cluster.consensus(old)._replica.pending_count == 0
             with pytest.raises(Failure) as caught:
                 await cluster.propose(old, 2)
             assert caught.value.code == Code.NO_QUORUM
