Fleet: one step for each deployment, and few calls at a time

Cause: at the target size a decision took 3.7 s of processor time in one step, in which the leader's lease can't be renewed, and all starts were asked for at once.

--- a/src/pepperstep/fakes/cloud.py
+++ b/src/pepperstep/fakes/cloud.py
@@ -58,6 +58,9 @@
         # How often each token was asked for, and hosts made.
         self.asked: Counter[str] = Counter()
         self.refusals = 0
+        # Most calls at the same time.
+        self.most_calls = 0
+        self._calls = 0
         self._rented: dict[str, _Rented] = {}
         self._notices: list[ReclaimNotice] = []
 
@@ -146,7 +149,12 @@
             raise OSError("The reply is lost.")
 
     async def _way(self) -> None:
-        await trio.sleep(self.delay)
+        self._calls += 1
+        self.most_calls = max(self.most_calls, self._calls)
+        try:
+            await trio.sleep(self.delay)
+        finally:
+            self._calls -= 1
         if self.is_down:
             raise OSError("No connection.")
 
--- a/src/pepperstep/fleet/fleet.py
+++ b/src/pepperstep/fleet/fleet.py
@@ -37,6 +37,8 @@
 
 __all__ = ["Fleet", "FleetPorts"]
 
+_ACTS_PER_COMMIT = 200
+
 
 @dataclass(frozen=True, slots=True)
 class FleetPorts:
@@ -197,18 +199,22 @@
             offers = await self._ports.cloud.list_offers()
         if offers is None:
             raise OSError("The cloud doesn't answer.")
-        views = self._observer.deployment_views(configuration, offers)
-        decisions = plan_fleet(views, self._policy)
-        acts = [self._act_of(decision) for decision in decisions]
-        if acts and self.record.is_valid:
-            await self.record.commit(acts=acts)
+        for view in self._observer.deployment_views(configuration, offers):
+            decisions = plan_fleet([view], self._policy)
+            await self._record([self._act_of(decision) for decision in decisions])
+            # Lets others run, as the lease must be renewed meanwhile.
+            await self._ports.timers.sleep(0)
 
     async def _decide_models(self, configuration: Configuration) -> None:
         views = self._observer.rollout_views(configuration)
         orders = plan_models(views, self._tuning.load_window)
-        acts = [self._order_of(order) for order in orders] + self._drains()
-        if acts and self.record.is_valid:
-            await self.record.commit(acts=acts)
+        await self._record([self._order_of(order) for order in orders] + self._drains())
+
+    async def _record(self, acts: list[Act]) -> None:
+        for start in range(0, len(acts), _ACTS_PER_COMMIT):
+            if not self.record.is_valid:
+                return
+            await self.record.commit(acts=acts[start : start + _ACTS_PER_COMMIT])
 
     async def _send_orders(self, configuration: Configuration) -> None:
         upstreams = {each.name: each for each in self._ports.registry.upstreams()}
--- a/src/pepperstep/fleet/hosts.py
+++ b/src/pepperstep/fleet/hosts.py
@@ -46,6 +46,7 @@
         self._timers = timers
         self._rng = rng
         self._tuning = tuning
+        self._calls = trio.CapacityLimiter(tuning.cloud_calls)
         self._missing: dict[str, int] = {}
         self._orphans_since: dict[str, float] = {}
 
@@ -69,18 +70,24 @@
 
         `is_drained` tells whether a host's engines run nothing any more.
         """
+        until = self._timers.now() + self._tuning.cloud_timeout
         async with trio.open_nursery() as nursery:
             for act in self._record.machine.open_acts():
                 if act.kind is ActKind.START:
-                    nursery.start_soon(self._guard, self._start, act)
+                    nursery.start_soon(self._guard, self._start, act, until)
                 elif act.kind is ActKind.STOP and self._may_stop(act, is_drained):
-                    nursery.start_soon(self._guard, self._stop, act)
-
-    async def _guard(self, work: Callable, act: Act) -> None:
-        try:
-            await work(act)
-        except Failure as failure:
-            logging.warning("fleet: %s %s waits: %s", act.kind, act.id, failure.text)
+                    nursery.start_soon(self._guard, self._stop, act, until)
+
+    async def _guard(self, work: Callable, act: Act, until: float) -> None:
+        """Do the work, a few at a time; what isn't begun by `until` waits."""
+        async with self._calls:
+            if self._timers.now() >= until:
+                return
+            try:
+                await work(act)
+            except Failure as failure:
+                text = failure.text
+                logging.warning("fleet: %s %s waits: %s", act.kind, act.id, text)
 
     async def _start(self, act: Act) -> None:
         if await self._is_given_up(act):
--- a/src/pepperstep/fleet/observer.py
+++ b/src/pepperstep/fleet/observer.py
@@ -1,7 +1,7 @@
 """Puts together what the decisions look at, from all that the leader sees."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -43,6 +43,8 @@
 
     # Engines by host.
     engines: dict[str, list[Upstream]]
+    # Starts by deployment.
+    starts: dict[str, list[Act]]
     # Hosts that are being taken back or stopped.
     leaving: frozenset[str]
     # Orders by the upstream's name and epoch, the latest ones last.
@@ -87,14 +89,12 @@
 
     def deployment_views(
         self, configuration: Configuration, offers: list[Offer]
-    ) -> list[DeploymentView]:
-        """Return the deployments with their hosts and pools."""
+    ) -> Iterator[DeploymentView]:
+        """Yield the deployments with their hosts and pools."""
         scene = self._look()
         self._note_readiness(scene)
-        return [
-            self._deployment_view(name, deployment, offers, scene)
-            for name, deployment in sorted(configuration.deployments.items())
-        ]
+        for name, deployment in sorted(configuration.deployments.items()):
+            yield self._deployment_view(name, deployment, offers, scene)
 
     def rollout_views(self, configuration: Configuration) -> list[RolloutView]:
         """Return the deployments with their engines."""
@@ -142,7 +142,10 @@
         for host in self._foreign:
             if host.state is HostState.RECLAIMING:
                 leaving.add(host.id)
-        return _Scene(dict(engines), frozenset(leaving), self._orders())
+        starts = defaultdict(list)
+        for act in self._machine.hosts():
+            starts[act.deployment].append(act)
+        return _Scene(dict(engines), dict(starts), frozenset(leaving), self._orders())
 
     def _orders(self) -> dict[tuple[str, int], list[Act]]:
         orders = defaultdict(list)
@@ -175,11 +178,7 @@
         )
 
     def _host_views(self, name: str, scene: _Scene) -> list[HostView]:
-        views = [
-            self._host_view(act, scene)
-            for act in self._machine.hosts()
-            if act.deployment == name
-        ]
+        views = [self._host_view(act, scene) for act in scene.starts.get(name, [])]
         for host in self._foreign:
             if host.deployment == name:
                 is_leaving = host.id in scene.leaving
--- a/src/pepperstep/fleet/orders.py
+++ b/src/pepperstep/fleet/orders.py
@@ -45,6 +45,7 @@
         self._client = client
         self._timers = timers
         self._tuning = tuning
+        self._calls = trio.CapacityLimiter(tuning.order_calls)
         # Upstreams whose state was read back in this epoch.
         self._read: set[tuple[str, int]] = set()
         # When an order to an upstream was last given up in doubt.
@@ -70,11 +71,12 @@
     async def _advance_one(
         self, acts: list[Act], upstream: Upstream | None, is_ignoring: bool
     ) -> None:
-        try:
-            await self._advance_all(acts, upstream, is_ignoring)
-        except Failure as failure:
-            name = acts[0].upstream
-            logging.warning("fleet: Orders to %s wait: %s", name, failure.text)
+        async with self._calls:
+            try:
+                await self._advance_all(acts, upstream, is_ignoring)
+            except Failure as failure:
+                name = acts[0].upstream
+                logging.warning("fleet: Orders to %s wait: %s", name, failure.text)
 
     async def _advance_all(
         self, acts: list[Act], upstream: Upstream | None, is_ignoring: bool
--- a/src/pepperstep/fleet/policies.py
+++ b/src/pepperstep/fleet/policies.py
@@ -5,7 +5,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pepperstep.fleet.history import PoolKey
 from pepperstep.fleet.views import DeploymentView, PoolView
@@ -96,32 +96,62 @@
     return min(view.need.base, view.max_replicas - -(-view.max_replicas // zones))
 
 
+class _Filling:
+    """An allocation that is being filled, up to a number of hosts."""
+
+    def __init__(self, limit: int):
+        self.limit = limit
+        self.total = 0
+        self.cost = 0.0
+        self.counts: Counter[PoolKey] = Counter()
+        self._by_zone: Counter[str] = Counter()
+
+    @property
+    def is_full(self) -> bool:
+        """Whether nothing more is to be taken."""
+        return self.total >= self.limit
+
+    def take(self, lot: _Lot, zone_limit: int) -> None:
+        """Take what there is room for, also in the lot's zone."""
+        zone = lot.key.zone
+        room = min(zone_limit - self._by_zone[zone], self.limit - self.total)
+        taken = min(room, lot.count)
+        if taken <= 0:
+            return
+        self._by_zone[zone] += taken
+        self.counts[lot.key] += taken
+        self.total += taken
+        self.cost += taken * lot.price
+
+
 def _choose(view: DeploymentView, base: int, lots: list[_Lot], loss: int) -> _Choice:
     covering = base + loss - view.startable
     total = min(max(view.need.wanted, covering), view.max_replicas)
-    counts: Counter[PoolKey] = Counter()
-    cost = 0.0
-    by_zone: Counter[str] = Counter()
+    spot = _Filling(total)
     for lot in lots:
-        if not lot.is_reclaimable:
-            continue
-        room = min(loss - by_zone[lot.key.zone], total - counts.total())
-        taken = max(0, min(room, lot.count))
-        by_zone[lot.key.zone] += taken
-        counts[lot.key] += taken
-        cost += taken * lot.price
-    limit = total
+        if spot.is_full:
+            break
+        if lot.is_reclaimable:
+            spot.take(lot, loss)
+    rest = _Filling(total - spot.total)
+    new_limit = rest.limit
     if view.cost_weight > _COST_FIRST:
-        limit = min(total, max(view.need.base, counts.total()))
+        new_limit = max(0, view.need.base - spot.total)
     for lot in lots:
-        if lot.is_reclaimable:
-            continue
-        room = (total if lot.is_kept else limit) - counts.total()
-        taken = max(0, min(room, lot.count))
-        counts[lot.key] += taken
-        cost += taken * lot.price
-    shortage = total - counts.total()
-    return _Choice(+counts, shortage, max(0, covering - total), cost)
+        if rest.is_full:
+            break
+        if not lot.is_reclaimable and (lot.is_kept or rest.total < new_limit):
+            rest.take(lot if lot.is_kept else _cut(lot, new_limit - rest.total), total)
+    return _Choice(
+        spot.counts + rest.counts,
+        total - spot.total - rest.total,
+        max(0, covering - total),
+        spot.cost + rest.cost,
+    )
+
+
+def _cut(lot: _Lot, count: int) -> _Lot:
+    return replace(lot, count=min(lot.count, count))
 
 
 def _lots(view: DeploymentView) -> list[_Lot]:
--- a/src/pepperstep/fleet/tuning.py
+++ b/src/pepperstep/fleet/tuning.py
@@ -27,6 +27,9 @@
     # One call to the cloud; it may outlast the lease, since a start is found
     # again by its token and a stop has no second effect.
     cloud_timeout: float = 10.0
+    # Calls at the same time: to the cloud, and upstreams that get orders.
+    cloud_calls: int = 16
+    order_calls: int = 64
     # An order refused by an upstream isn't given again before this time.
     refused_pause: float = 5.0
     # Longest back-off after refused starts, and the first one.
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -71,6 +71,19 @@
         assert len(site.cloud.hosts) == 3
 
 
+async def test_slow_cloud_gets_few_calls_at_a_time(autojump_clock):
+    async with Site.start(max_replicas=100) as site:
+        site.busy[NAME] = 1000.0
+        site.cloud.delay = 4.0
+        await trio.sleep(30)
+        # Begun within the time of one call, the others in the next period.
+        assert 0 < len(site.cloud.hosts) <= 3 * site.tuning.cloud_calls
+        await trio.sleep(200)
+        assert len(site.cloud.hosts) > 80
+        assert site.cloud.most_calls <= site.tuning.cloud_calls + 1
+        assert max(site.cloud.asked.values()) == 1
+
+
 async def test_orphans_are_stopped_and_foreign_hosts_left(autojump_clock):
     async with Site.start() as site:
         await trio.sleep(40)
