Divide contended places among hosts, and choose in fewer steps

Each host may now always fill its part of the places and goes beyond it only where the upstream is far from full; waits count the places that higher classes hold.

--- a/measure/routing.py
+++ b/measure/routing.py
@@ -1,7 +1,8 @@
 """Compares the routing's policies with their baselines, in virtual time.
 
-`python -m measure.routing` prints a table for each scenario; all policies of a
-scenario get the same seeded load and faults. Names of scenarios may be given.
+`python -m measure.routing` prints a table for each scenario with the medians of
+three seeds; all policies of a scenario get the same loads and faults. Names of
+scenarios may be given. Times are in milliseconds, shares in percent.
 """
 
 import random
@@ -27,6 +28,7 @@
 KEY = ModelKey("pool-7b", "", "1")
 ZONES = ("makati-a", "pasig-b", "taguig-c")
 _LAG_SECONDS = 1.0
+_SEEDS = (1, 2, 3)
 
 
 class LaggedView:
@@ -142,9 +144,10 @@
         hosts: int = 3,
         workspaces: dict[str, Workspace] | None = None,
         retry_share: float = 0.1,
+        seed: int = 1,
         **options,
     ):
-        self.rng = random.Random(11)
+        self.rng = random.Random(seed)
         self.timers = FakeTimers()
         self.engines = [
             BatchEngine(f"engine-{n}", ZONES[n % 3], KEY, region="ncr", **options)
@@ -284,7 +287,7 @@
 
     # Trio shuffles the tasks that are ready; figures are to repeat.
     run_module._ALLOW_DETERMINISTIC_SCHEDULING = True
-    run_module._r.seed(0)
+    run_module._r.seed(options["seed"])
     return trio.run(main, clock=MockClock(autojump_threshold=0))
 
 
@@ -309,16 +312,16 @@
     work: Work
     policies: dict[str, RoutingSettings]
     heads: tuple[str, ...]
-    line: Callable[[Figures], tuple[str, ...]]
+    line: Callable[[Figures], tuple[float, ...]]
     options: dict
 
 
-def _milliseconds(seconds: float) -> str:
-    return f"{seconds * 1000:.0f}"
+def _milliseconds(seconds: float) -> float:
+    return round(seconds * 1000)
 
 
-def _percent(share: float) -> str:
-    return f"{100 * share:.1f}%"
+def _percent(share: float) -> float:
+    return round(100 * share, 1)
 
 
 # Placement: 40 families of prompts with a long prefix in common, late load.
@@ -334,13 +337,13 @@
     await send(site, nursery, 40.0, 30.0, make)
 
 
-def _line_placement(figures: Figures) -> tuple[str, ...]:
+def _line_placement(figures: Figures) -> tuple[float, ...]:
     return (
         _milliseconds(figures.percentile(0.5)),
         _milliseconds(figures.percentile(0.95)),
         _milliseconds(figures.percentile(0.99)),
-        str(figures.computed_tokens),
-        str(figures.count(lambda sample: not sample.is_answered)),
+        figures.computed_tokens,
+        figures.count(lambda sample: not sample.is_answered),
     )
 
 
@@ -367,13 +370,13 @@
         senders.start_soon(send, site, nursery, 5.0, 30.0, reply)
 
 
-def _line_fairness(figures: Figures) -> tuple[str, ...]:
-    def first_token(workspace: str) -> str:
+def _line_fairness(figures: Figures) -> tuple[float, ...]:
+    def first_token(workspace: str) -> float:
         return _milliseconds(
             figures.percentile(0.95, lambda request: request.workspace == workspace)
         )
 
-    def answered(workspace: str) -> str:
+    def answered(workspace: str) -> float:
         own = [each for each in figures.samples if each.request.workspace == workspace]
         return _percent(sum(each.is_answered for each in own) / len(own))
 
@@ -388,15 +391,15 @@
     await send(site, nursery, 75.0, 40.0, lambda: site.request(max_tokens=40))
 
 
-def _line_limits(figures: Figures) -> tuple[str, ...]:
+def _line_limits(figures: Figures) -> tuple[float, ...]:
     late = [each for each in figures.samples if each.is_answered]
     gaps = sorted(each.gaps for each in late)
     return (
         _milliseconds(gaps[len(gaps) // 2]),
         _milliseconds(gaps[int(0.95 * len(gaps))]),
         _milliseconds(figures.percentile(0.95)),
-        f"{len(late) / figures.seconds:.1f}",
-        str(figures.count(lambda sample: not sample.is_answered)),
+        len(late) / figures.seconds,
+        figures.count(lambda sample: not sample.is_answered),
     )
 
 
@@ -444,17 +447,17 @@
     return work
 
 
-def _line_breaker(figures: Figures) -> tuple[str, ...]:
+def _line_breaker(figures: Figures) -> tuple[float, ...]:
     answered = figures.count(lambda sample: sample.is_answered)
     return (
-        f"{answered / figures.seconds:.1f}",
+        answered / figures.seconds,
         _milliseconds(figures.percentile(0.5)),
         _milliseconds(figures.percentile(0.95)),
         _milliseconds(figures.percentile(0.99)),
         _percent(figures.retry_share),
-        str(figures.count(lambda sample: sample.code == "retries_exhausted")),
-        str(figures.count(lambda sample: not sample.is_answered)),
-        str(figures.ejections),
+        figures.count(lambda sample: sample.code == "retries_exhausted"),
+        figures.count(lambda sample: not sample.is_answered),
+        figures.ejections,
     )
 
 
@@ -479,7 +482,7 @@
 _OVERLOAD_CAPACITY = 72 / (0.3 * 0.43 + 0.7 * 1.03)
 
 
-def _line_overload(figures: Figures) -> tuple[str, ...]:
+def _line_overload(figures: Figures) -> tuple[float, ...]:
     refused = [each for each in figures.samples if each.code in _REFUSALS]
     answered = [each for each in figures.samples if each.is_answered]
     work = sum(
@@ -500,11 +503,11 @@
         _milliseconds(
             figures.percentile(0.95, lambda each: each.priority == Priority.INTERACTIVE)
         ),
-        str(len(refused)),
-        str(figures.count(lambda sample: sample.code == "deadline_expired")),
+        len(refused),
+        figures.count(lambda sample: sample.code == "deadline_expired"),
         _percent(served["large"] / asked["large"]),
         _percent(served["small"] / asked["small"]),
-        f"{statistics.mean([each.retry_after for each in refused] or [0]):.1f}",
+        statistics.mean([each.retry_after for each in refused] or [0]),
     )
 
 
@@ -537,7 +540,7 @@
     "p50",
     "p95",
     "p99 ms",
-    "retries",
+    "retries %",
     "no budget",
     "failed",
     "ejections",
@@ -569,7 +572,7 @@
     "fairness": Scenario(
         _work_fairness,
         _variants("queue", "fifo", "fair"),
-        ("desk p95", "small", "large ms", "desk", "small", "large answered"),
+        ("desk p95", "small", "large ms", "desk %", "small %", "large %"),
         _line_fairness,
         {"engines": 3},
     ),
@@ -598,7 +601,15 @@
             "fair, no refusal": RoutingSettings(refuses_early=False),
             "fair, early": RoutingSettings(),
         },
-        ("goodput", "reply p95 ms", "refused", "late", "large", "small", "return s"),
+        (
+            "goodput %",
+            "reply p95 ms",
+            "refused",
+            "late",
+            "large %",
+            "small %",
+            "return s",
+        ),
         _line_overload,
         {"slots": 8},
     ),
@@ -623,9 +634,15 @@
     """Run all policies of a scenario and print their figures."""
     print(f"\n{name:18}" + "".join(f"{head:>15}" for head in scenario.heads))
     for policy, settings in scenario.policies.items():
-        figures = run_policy(scenario.work, settings, **scenario.options)
-        line = scenario.line(figures)
-        print(f"{policy:18}" + "".join(f"{value:>15}" for value in line), flush=True)
+        lines = [
+            scenario.line(
+                run_policy(scenario.work, settings, seed=seed, **scenario.options)
+            )
+            for seed in _SEEDS
+        ]
+        medians = [statistics.median(values) for values in zip(*lines, strict=True)]
+        line = "".join(f"{round(value, 1):>15}" for value in medians)
+        print(f"{policy:18}{line}", flush=True)
 
 
 def main() -> None:
--- a/src/pepperstep/routing/admission.py
+++ b/src/pepperstep/routing/admission.py
@@ -17,15 +17,17 @@
 # An accepted request that hasn't asked for its place after this never will.
 _ADMITTED_SECONDS = 2.0
 _JITTER = 0.5
+# Part of the places that higher classes leave at least.
+_LEAST_SHARE = 0.05
 # Answers after which their length is taken as known.
 _KNOWN_ANSWERS = 8
 
 
 @dataclass(frozen=True, slots=True)
 class Room:
-    """Places that a request could have now, and what waits of its workspace."""
+    """Whether places are free, and how many wait of a request's workspace."""
 
-    free: float
+    is_enough: bool
     waiting: int
 
 
@@ -56,18 +58,24 @@
         `remaining` seconds are left until its deadline. Raise `Failure` if it
         is not to be accepted.
         """
-        self._prune(now)
-        admitted = [each.request for each in self._admitted.values()]
-        free = room.free - sum(pool_key(each) == pool.key for each in admitted)
-        wait = self.predict_wait(pool, request) if free < 1 else 0.0
-        waiting = room.waiting
-        waiting += sum(each.workspace == request.workspace for each in admitted)
+        wait = 0.0 if room.is_enough else self.predict_wait(pool, request)
+        waiting = room.waiting + sum(
+            each.request.workspace == request.workspace
+            for each in self._admitted.values()
+        )
         if wait > 0.0 and waiting >= self._terms.max_queue:
             raise self._full(request, wait / waiting)
         if wait > 0.0 and self._settings.refuses_early:
             self._check_times(request, pool, wait, remaining)
         self._admitted[request.id] = _Admitted(request, now, wait)
 
+    def count_admitted(self, pool: Pool, now: float) -> int:
+        """Return how many that were let in haven't asked for a place yet."""
+        self._prune(now)
+        return sum(
+            pool_key(each.request) == pool.key for each in self._admitted.values()
+        )
+
     def note_queued(self, request: Request) -> float:
         """Return the wait predicted for a request, which asks for its place."""
         admitted = self._admitted.pop(request.id, None)
@@ -77,8 +85,8 @@
         """Return the seconds until a request would start, by the present drain.
 
         By Little's law places free at the rate of those held over the time
-        that each is held. What higher classes will ask for meanwhile is learned
-        from the waits that ended.
+        that each is held; those that higher classes hold now will be theirs
+        meanwhile.
         """
 
         def hold_of(priority: Priority) -> float:
@@ -88,8 +96,9 @@
             return pool.hold.value or request.max_tokens * pool.decode_seconds
 
         ahead = pool.queue.work_ahead(request, hold_of)
-        error = pool.wait_errors[request.priority].value
-        return error * ahead / max(1, pool.in_flight)
+        above = sum(pool.class_in_flight[: request.priority])
+        left = max(pool.in_flight - above, _LEAST_SHARE * pool.in_flight, 1.0)
+        return pool.wait_errors[request.priority].value * ahead / left
 
     def _check_times(
         self, request: Request, pool: Pool, wait: float, remaining: float
@@ -147,4 +156,5 @@
         return request.deadline
     share = max(0.0, shares.value - 2 * shares.deviation)
     sure_tokens = max(0.0, left_tokens - (1 - share) * request.max_tokens)
-    return request.deadline - sure_tokens * pool.decode_seconds
+    seconds = pool.first_token.value + sure_tokens * pool.decode_seconds
+    return request.deadline - seconds
--- /dev/null
+++ b/src/pepperstep/routing/candidates.py
@@ -0,0 +1,54 @@
+"""The upstreams that an attempt may go to, looked at only as far as needed."""
+
+from collections.abc import Callable, Collection, Sequence
+from random import Random
+
+from pepperstep.routing.tracked import TrackedUpstream
+
+__all__ = ["Candidates"]
+
+# Draws for each one wanted before all are looked at.
+_TRIES = 3
+
+
+class Candidates:
+    """Members of a pool that are usable for one attempt."""
+
+    __slots__ = ("_by_name", "_is_usable", "_members")
+
+    def __init__(
+        self,
+        members: Sequence[TrackedUpstream],
+        by_name: dict[str, TrackedUpstream],
+        is_usable: Callable[[TrackedUpstream], bool],
+    ):
+        self._members = members
+        self._by_name = by_name
+        self._is_usable = is_usable
+
+    def list_all(self) -> list[TrackedUpstream]:
+        """Return all."""
+        return [each for each in self._members if self._is_usable(each)]
+
+    def draw(self, number: int, rng: Random) -> list[TrackedUpstream]:
+        """Return up to `number` different ones, drawn at random."""
+        members = self._members
+        if len(members) <= _TRIES * number:
+            return self._draw_from_all(number, rng)
+        drawn: list[TrackedUpstream] = []
+        for _ in range(_TRIES * number):
+            member = members[int(rng.random() * len(members))]
+            if member not in drawn and self._is_usable(member):
+                drawn.append(member)
+                if len(drawn) == number:
+                    return drawn
+        return self._draw_from_all(number, rng)
+
+    def find(self, names: Collection[str]) -> list[TrackedUpstream]:
+        """Return those with these names."""
+        found = [self._by_name[name] for name in names if name in self._by_name]
+        return [each for each in found if self._is_usable(each)]
+
+    def _draw_from_all(self, number: int, rng: Random) -> list[TrackedUpstream]:
+        usable = self.list_all()
+        return rng.sample(usable, min(number, len(usable)))
--- a/src/pepperstep/routing/dispatch.py
+++ b/src/pepperstep/routing/dispatch.py
@@ -8,6 +8,7 @@
 from pepperstep.ports import Timers
 from pepperstep.routing.admission import Room
 from pepperstep.routing.breakers import Breaker, BreakerState, limit_ejected
+from pepperstep.routing.candidates import Candidates
 from pepperstep.routing.feedback import Feedback
 from pepperstep.routing.limits import AdaptiveLimit, LatencySample
 from pepperstep.routing.placement import Placement
@@ -45,6 +46,7 @@
         self._note_released = note_released
         self._host_limit = AdaptiveLimit.from_host(self._settings)
         self._in_flight: Counter[str] = Counter()
+        self._total = 0
         self._waiting: Counter[str] = Counter()
         # The one of the waiting that looks for changes each period.
         self._poller: Waiter | None = None
@@ -52,7 +54,7 @@
     @property
     def in_flight(self) -> int:
         """Attempts in flight at this host."""
-        return self._in_flight.total()
+        return self._total
 
     @property
     def host_limit(self) -> float:
@@ -65,18 +67,20 @@
         sample = LatencySample(delay, 0.0, self._settings.host_delay, is_limited)
         self._host_limit.note(sample, 1.0, now)
 
-    def room_for(self, request: Request, pool: Pool, now: float) -> Room:
-        """Return the room that a new request finds."""
+    def room_for(self, request: Request, pool: Pool, wanted: int, now: float) -> Room:
+        """Return whether `wanted` new requests like this one could start now."""
         waiting = self._waiting[request.workspace]
         is_first = pool.queue.is_empty_for(request)
         if not is_first or not self._is_below_limits(request):
-            return Room(0.0, waiting)
+            return Room(False, waiting)
         share = pool.share_of(request.priority, now, self._settings)
-        free = sum(
-            max(0.0, each.limit.value * share - each.total, float(each.in_flight == 0))
-            for each in pool.members
-        )
-        return Room(free, waiting)
+        free = 0.0
+        for tracked in pool.members:
+            if tracked.has_room(share):
+                free += max(1.0, tracked.limit.value * share - tracked.total)
+                if free >= wanted:
+                    return Room(True, waiting)
+        return Room(False, waiting)
 
     async def wait(self, waiter: Waiter, pool: Pool) -> Placement:
         """Return the waiter's placement; raise its failure if it gets none."""
@@ -153,22 +157,27 @@
             waiter.wake()
 
     def _start(self, pool: Pool, now: float) -> None:
-        while self.in_flight < self._host_limit.value and self._start_one(pool, now):
+        while (
+            len(pool.queue)
+            and self._total < self._host_limit.value
+            and self._start_one(pool, now)
+        ):
             pass
 
     def _start_one(self, pool: Pool, now: float) -> bool:
         ejected = self._ejected(pool, now)
-        usable: dict[Priority, list[TrackedUpstream]] = {}
+        # Classes for which there is no place whatever the upstream.
+        full: set[Priority] = set()
         for waiter in pool.queue.heads():
             request = waiter.work.request
-            if not self._is_below_limits(request):
+            if request.priority in full or not self._is_below_limits(request):
                 continue
-            if request.priority not in usable:
-                usable[request.priority] = self._usable(pool, request, now)
-            choice = self._choose_for(waiter, pool, usable[request.priority], ejected)
+            choice = self._choose_for(waiter, pool, ejected, now)
             if choice is not None:
                 self._place(waiter, pool, choice)
                 return True
+            if not waiter.excluded:
+                full.add(request.priority)
         return False
 
     def _is_below_limits(self, request: Request) -> bool:
@@ -177,72 +186,58 @@
             return False
         return self._in_flight[workspace] < self._terms.max_in_flight_of(workspace)
 
-    def _usable(
-        self, pool: Pool, request: Request, now: float
-    ) -> list[TrackedUpstream]:
-        share = pool.share_of(request.priority, now, self._settings)
+    def _share_of(self, pool: Pool, request: Request, now: float) -> float:
         if pool.queue.is_owed(request):
-            share = max(self._settings.class_shares)
-        return [each for each in pool.members if each.has_room(share)]
+            return max(self._settings.class_shares)
+        return pool.share_of(request.priority, now, self._settings)
 
     def _ejected(self, pool: Pool, now: float) -> set[Breaker]:
-        breakers = [each.breaker for each in pool.members]
-        if all(each.state is BreakerState.HEALTHY for each in breakers):
+        healthy = BreakerState.HEALTHY
+        if not [1 for each in pool.members if each.breaker.state is not healthy]:
             return set()
+        breakers = [each.breaker for each in pool.members]
         return limit_ejected(breakers, now, self._settings.max_ejected_share)
 
     def _choose_for(
-        self,
-        waiter: Waiter,
-        pool: Pool,
-        usable: list[TrackedUpstream],
-        ejected: set[Breaker],
+        self, waiter: Waiter, pool: Pool, ejected: set[Breaker], now: float
     ) -> Choice | None:
-        if not usable:
-            return None
-        now = self._timers.now()
+        share = self._share_of(pool, waiter.work.request, now)
         if ejected:
-            probe = self._find_probe(waiter, usable, ejected)
+            probe = self._find_probe(waiter, pool, ejected, share)
             if probe is not None:
                 return Choice(probe, "probe of an ejected upstream")
-        allowed = self._narrow(waiter, pool, usable, ejected)
-        if not allowed:
-            return None
-        return self._choose(allowed, waiter.work, self._context, now)
+        candidates = self._find_candidates(waiter, pool, ejected, share)
+        return self._choose(candidates, waiter.work, self._context, now)
 
     def _find_probe(
-        self, waiter: Waiter, usable: list[TrackedUpstream], ejected: set[Breaker]
+        self, waiter: Waiter, pool: Pool, ejected: set[Breaker], share: float
     ) -> TrackedUpstream | None:
         """Return an upstream that a request may test; later attempts don't."""
         if waiter.attempt > 1 or not waiter.work.request.is_repeatable:
             return None
-        for tracked in usable:
+        for tracked in pool.members:
             breaker = tracked.breaker
             if breaker not in ejected or breaker.state is not BreakerState.RECOVERING:
                 continue
-            if breaker.probes < self._settings.recovering_in_flight:
+            is_free = breaker.probes < self._settings.recovering_in_flight
+            if is_free and tracked.has_room(share):
                 return tracked
         return None
 
-    def _narrow(
-        self,
-        waiter: Waiter,
-        pool: Pool,
-        usable: list[TrackedUpstream],
-        ejected: set[Breaker],
-    ) -> list[TrackedUpstream]:
+    def _find_candidates(
+        self, waiter: Waiter, pool: Pool, ejected: set[Breaker], share: float
+    ) -> Candidates:
         """Leave out the ejected, and the excluded unless there is no other."""
-        if ejected:
-            usable = [each for each in usable if each.breaker not in ejected]
         excluded = waiter.excluded
-        if not excluded:
-            return usable
-        if any(
-            each.upstream.name not in excluded and each.breaker not in ejected
-            for each in pool.members
-        ):
-            return [each for each in usable if each.upstream.name not in excluded]
-        return usable
+        if not excluded and not ejected:
+            return Candidates(
+                pool.members, pool.by_name, lambda each: each.has_room(share)
+            )
+        members = [each for each in pool.members if each.breaker not in ejected]
+        fresh = [each for each in members if each.upstream.name not in excluded]
+        members = fresh or members
+        by_name = {each.upstream.name: each for each in members}
+        return Candidates(members, by_name, lambda each: each.has_room(share))
 
     def _place(self, waiter: Waiter, pool: Pool, choice: Choice) -> None:
         pool.queue.pop(waiter)
@@ -258,8 +253,10 @@
             tracked.breaker.probes += 1
             placement.is_probe = True
         pool.in_flight += 1
+        pool.class_in_flight[request.priority] += 1
         self._waiting[request.workspace] -= 1
         self._in_flight[request.workspace] += 1
+        self._total += 1
         waiter.result = placement
         waiter.wake()
 
@@ -269,7 +266,9 @@
         workspace = waiter.work.request.workspace
         placement.end(now)
         placement.pool.in_flight -= 1
+        placement.pool.class_in_flight[waiter.work.request.priority] -= 1
         self._in_flight[workspace] -= 1
+        self._total -= 1
         if not self._in_flight[workspace]:
             del self._in_flight[workspace]
         held = now - placement.started_at
--- a/src/pepperstep/routing/pools.py
+++ b/src/pepperstep/routing/pools.py
@@ -39,40 +39,43 @@
         self.key = key
         self.queue = queue
         self.members: list[TrackedUpstream] = []
+        self.by_name: dict[str, TrackedUpstream] = {}
+        # Seconds to prefill a token and for a decode step, at the fastest member.
+        self.prefill_seconds = 0.0
+        self.decode_seconds = 0.0
         # Attempts of this host in flight for requests of the pool.
         self.in_flight = 0
+        self.class_in_flight = [0 for _ in Priority]
         # Seconds that an attempt holds its place, by class, and for all.
-        self.holds = {priority: Average() for priority in Priority}
+        self.holds = [Average() for _ in Priority]
         self.hold = Average()
         # Seconds from dispatch to the first token.
         self.first_token = Average()
         # Tokens generated as a share of the most that were asked for, by class.
-        self.answer_shares = {
-            priority: Average(0.05, initial=0.5) for priority in Priority
-        }
+        self.answer_shares = [Average(0.05, initial=0.5) for _ in Priority]
         self.tokens_per_character = Average(0.05, initial=_TOKENS_PER_CHARACTER)
         # Waits as a multiple of what was predicted, by class.
-        self.wait_errors = {priority: Average(0.05, 1.0) for priority in Priority}
+        self.wait_errors = [Average(0.002, initial=1.0) for _ in Priority]
         # When each class was last asked for.
-        self.asked_at = dict.fromkeys(Priority, float("-inf"))
+        self.asked_at = [float("-inf") for _ in Priority]
         self._typical = (float("-inf"), 0.0, 0.0)
 
-    @property
-    def decode_seconds(self) -> float:
-        """Seconds for a token, as the upstreams report it."""
-        loads = [each.upstream.load.decode_seconds for each in self.members]
-        return min(loads, default=0.02)
-
     def share_of(self, priority: Priority, now: float, settings) -> float:
         """Return the share of places that a class may take now."""
-        is_above_used = any(
-            now - self.asked_at[above] < settings.class_seconds
-            for above in Priority
-            if above < priority
-        )
+        above = max(self.asked_at[:priority], default=float("-inf"))
+        is_above_used = now - above < settings.class_seconds
         share = settings.class_shares[priority]
         return share if is_above_used else max(1.0, share)
 
+    def set_members(self, members: list[TrackedUpstream]) -> None:
+        """Take the upstreams that serve the key now."""
+        self.members = members
+        self.by_name = {each.upstream.name: each for each in members}
+        loads = [each.upstream.load for each in members]
+        if loads:
+            self.prefill_seconds = min(load.prefill_seconds for load in loads)
+            self.decode_seconds = min(load.decode_seconds for load in loads)
+
     def note_wait(self, waiter: Waiter, now: float) -> None:
         """Learn from a wait that has ended how far the prediction was off."""
         if waiter.predicted_wait > _LEAST_WAIT:
@@ -161,7 +164,7 @@
         for key in members.keys() - self._pools.keys():
             self._pools[key] = Pool(key, self._new_queue())
         for key, pool in self._pools.items():
-            pool.members = members.get(key, [])
+            pool.set_members(members.get(key, []))
 
     def _update(
         self, tracked: TrackedUpstream | None, upstream: Upstream, now: float
--- a/src/pepperstep/routing/prediction.py
+++ b/src/pepperstep/routing/prediction.py
@@ -1,11 +1,13 @@
 """Predicts the time to the first token on each candidate."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import count
+from operator import attrgetter
 from random import Random
 
 from pepperstep.entities import Role
+from pepperstep.routing.candidates import Candidates
 from pepperstep.routing.prefixes import PrefixIndex
 from pepperstep.routing.settings import RoutingSettings
 from pepperstep.routing.tracked import TrackedUpstream
@@ -14,9 +16,12 @@
 __all__ = ["CHOICES", "Choice", "ChoiceContext", "Chooser", "Prediction"]
 
 _FIRST_HOLD = 1.0
+# Upstreams that hold the prefix, besides the drawn ones.
+_HOLDERS = 2
+_total_of = attrgetter("total")
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Prediction:
     """Parts of the predicted time to the first token, in seconds."""
 
@@ -57,51 +62,56 @@
     turns: count = field(default_factory=count)
 
 
-Chooser = Callable[[Sequence[TrackedUpstream], Work, ChoiceContext, float], Choice]
+Chooser = Callable[[Candidates, Work, ChoiceContext, float], Choice | None]
 
 
 def choose_predicted(
-    usable: Sequence[TrackedUpstream], work: Work, context: ChoiceContext, now: float
-) -> Choice:
+    candidates: Candidates, work: Work, context: ChoiceContext, now: float
+) -> Choice | None:
     """Choose the least predicted time among a few and the prefix's best.
 
     Few, since the reports are late: all hosts that look at all upstreams would
     choose the same one until the next report.
     """
-    number = min(context.settings.choices, len(usable))
-    drawn = context.rng.sample(usable, number)
+    drawn = candidates.draw(context.settings.choices, context.rng)
+    if not drawn:
+        return None
     holders = context.prefixes.find_holders(work.hashes)
     if holders:
-        names = {tracked.upstream.name for tracked in drawn}
-        drawn += [
-            tracked
-            for tracked in usable
-            if tracked.upstream.name in holders and tracked.upstream.name not in names
-        ]
+        held = sorted(candidates.find(holders), key=_total_of)
+        drawn += [each for each in held[:_HOLDERS] if each not in drawn]
     predictions = [predict(tracked, work, context, now) for tracked in drawn]
-    best = min(range(len(drawn)), key=lambda index: predictions[index].seconds)
-    return Choice(drawn[best], "least predicted time", tuple(predictions))
+    seconds = [prediction.seconds for prediction in predictions]
+    best = drawn[seconds.index(min(seconds))]
+    return Choice(best, "least predicted time", tuple(predictions))
 
 
 def choose_least_in_flight(
-    usable: Sequence[TrackedUpstream], work: Work, context: ChoiceContext, now: float
-) -> Choice:
+    candidates: Candidates, work: Work, context: ChoiceContext, now: float
+) -> Choice | None:
     """Choose the upstream with the least in flight from this host."""
-    return Choice(min(usable, key=lambda each: each.in_flight), "least in flight")
+    usable = candidates.list_all()
+    if not usable:
+        return None
+    return Choice(min(usable, key=attrgetter("in_flight")), "least in flight")
 
 
 def choose_round_robin(
-    usable: Sequence[TrackedUpstream], work: Work, context: ChoiceContext, now: float
-) -> Choice:
+    candidates: Candidates, work: Work, context: ChoiceContext, now: float
+) -> Choice | None:
     """Choose one upstream after the other."""
+    usable = candidates.list_all()
+    if not usable:
+        return None
     return Choice(usable[next(context.turns) % len(usable)], "round robin")
 
 
 def choose_random(
-    usable: Sequence[TrackedUpstream], work: Work, context: ChoiceContext, now: float
-) -> Choice:
+    candidates: Candidates, work: Work, context: ChoiceContext, now: float
+) -> Choice | None:
     """Choose any upstream."""
-    return Choice(context.rng.choice(usable), "random")
+    drawn = candidates.draw(1, context.rng)
+    return Choice(drawn[0], "random") if drawn else None
 
 
 CHOICES: dict[str, Chooser] = {
@@ -123,6 +133,9 @@
         blocks = context.prefixes.cached_blocks(upstream.name, work.hashes, now)
         cached = min(blocks * work.block_tokens, work.prompt_tokens)
     uncached = work.tokens - cached
+    role = 0.0
+    if upstream.role is not Role.MIXED:
+        role = _role_penalty(tracked, work, uncached, settings)
     failures = tracked.failures.at(now) * settings.failure_seconds
     return Prediction(
         upstream=upstream.name,
@@ -132,7 +145,7 @@
         prefill=uncached * upstream.load.prefill_seconds,
         distance=_distance(tracked, context),
         history=tracked.excess.at(now) + failures,
-        role=_role_penalty(tracked, work, uncached, settings),
+        role=role,
     )
 
 
@@ -166,11 +179,8 @@
 def _role_penalty(
     tracked: TrackedUpstream, work: Work, uncached: float, settings: RoutingSettings
 ) -> float:
-    role = tracked.upstream.role
-    if role is Role.MIXED:
-        return 0.0
     load = tracked.upstream.load
     prefill = uncached * load.prefill_seconds
     decode = work.answer_tokens * load.decode_seconds
     wanted = Role.PREFILL if prefill > decode else Role.DECODE
-    return 0.0 if role is wanted else settings.role_seconds
+    return 0.0 if tracked.upstream.role is wanted else settings.role_seconds
--- a/src/pepperstep/routing/prefixes.py
+++ b/src/pepperstep/routing/prefixes.py
@@ -133,13 +133,14 @@
 
     def _store(self, upstream: str, hashes: Sequence[int], seen_at: float) -> None:
         beliefs = self._beliefs.setdefault(upstream, _Beliefs())
+        blocks = beliefs.blocks
         for digest in reversed(hashes):
-            newest = max(seen_at, beliefs.blocks.get(digest, seen_at))
-            beliefs.blocks[digest] = newest
-            beliefs.blocks.move_to_end(digest)
+            if blocks.get(digest, seen_at) <= seen_at:
+                blocks[digest] = seen_at
+            blocks.move_to_end(digest)
             self._add_holder(upstream, digest)
-        while len(beliefs.blocks) > self._capacity:
-            digest, _ = beliefs.blocks.popitem(last=False)
+        while len(blocks) > self._capacity:
+            digest, _ = blocks.popitem(last=False)
             self._drop_holder(upstream, digest)
 
     def _add_holder(self, upstream: str, digest: int) -> None:
--- a/src/pepperstep/routing/queue.py
+++ b/src/pepperstep/routing/queue.py
@@ -63,6 +63,9 @@
 ORDERS: dict[str, Order] = {"fair": order_fairly, "fifo": order_by_arrival}
 
 
+_CLASSES = tuple(Priority)
+
+
 class _Lane:
     """Waiters of one class, by workspace, with a virtual clock."""
 
@@ -117,17 +120,16 @@
         self._order = order
         self._weight_of = weight_of
         self._lower_share = lower_share
-        self._lanes = {priority: _Lane() for priority in Priority}
+        self._lanes = [_Lane() for _ in _CLASSES]
+        self._size = 0
 
     def __len__(self) -> int:
-        return sum(self._count(priority) for priority in Priority)
+        return self._size
 
     def is_empty_for(self, request: Request) -> bool:
         """Whether nothing waits that would start before the request."""
         priority, _ = self._order(request)
-        return not any(
-            self._lanes[each].waiters for each in Priority if each <= priority
-        )
+        return not any(lane.waiters for lane in self._lanes[: priority + 1])
 
     def is_owed(self, request: Request) -> bool:
         """Whether the request's class is due a start before higher ones."""
@@ -138,9 +140,7 @@
     ) -> float:
         """Return the seconds of places held until the request would start."""
         priority, workspace = self._order(request)
-        above = sum(
-            self._count(each) * hold_of(each) for each in Priority if each < priority
-        )
+        above = sum(self._count(each) * hold_of(each) for each in _CLASSES[:priority])
         lane = self._lanes[priority]
         weights = sum(map(self._weight_of, {*lane.waiters, workspace}))
         share = self._weight_of(workspace) / weights
@@ -152,6 +152,7 @@
         """Add a waiter."""
         priority, workspace = self._order(waiter.work.request)
         self._lanes[priority].push(workspace, waiter)
+        self._size += 1
 
     def remove(self, waiter: Waiter) -> None:
         """Remove a waiter that isn't to be started."""
@@ -160,6 +161,7 @@
         waiters = lane.waiters.get(workspace, deque())
         if waiter in waiters:
             waiters.remove(waiter)
+            self._size -= 1
         if not waiters:
             lane.waiters.pop(workspace, None)
 
@@ -168,6 +170,7 @@
         priority, workspace = self._order(waiter.work.request)
         weight = self._weight_of(workspace)
         self._lanes[priority].pop(workspace, waiter.cost / weight)
+        self._size -= 1
         self._move_credit(priority)
 
     def correct(self, waiter: Waiter, seconds: float) -> None:
@@ -181,7 +184,10 @@
         """Yield the first waiter of each workspace in the order to start them."""
         for priority in self._ordered_classes():
             lane = self._lanes[priority]
-            for workspace in sorted(lane.waiters, key=lane.starts.__getitem__):
+            workspaces = list(lane.waiters)
+            if len(workspaces) > 1:
+                workspaces.sort(key=lane.starts.__getitem__)
+            for workspace in workspaces:
                 yield lane.waiters[workspace][0]
 
     def take_late(self, now: float) -> list[Waiter]:
@@ -200,21 +206,19 @@
         return sum(map(len, self._lanes[priority].waiters.values()))
 
     def _all_waiters(self) -> Iterator[deque[Waiter]]:
-        for lane in self._lanes.values():
+        for lane in self._lanes:
             yield from lane.waiters.values()
 
     def _ordered_classes(self) -> list[Priority]:
-        def rank(priority: Priority) -> tuple[bool, Priority]:
-            return self._lanes[priority].credit < 1.0, priority
-
-        waiting = [each for each in Priority if self._lanes[each].waiters]
-        return sorted(waiting, key=rank)
+        waiting = [each for each in _CLASSES if self._lanes[each].waiters]
+        if len(waiting) > 1:
+            waiting.sort(key=lambda priority: self._lanes[priority].credit < 1.0)
+        return waiting
 
     def _move_credit(self, started: Priority) -> None:
         """Pay for a start, and credit the classes below that wait."""
         lane = self._lanes[started]
         lane.credit = max(0.0, lane.credit - 1.0)
-        for priority in Priority:
-            below = self._lanes[priority]
-            if priority > started and below.waiters:
+        for below in self._lanes[started + 1 :]:
+            if below.waiters:
                 below.credit = min(1.0, below.credit + self._lower_share)
--- a/src/pepperstep/routing/router.py
+++ b/src/pepperstep/routing/router.py
@@ -46,7 +46,7 @@
         *,
         settings: RoutingSettings | None = None,
         rng: random.Random | None = None,
-        configuration: Callable[[], Configuration] = Configuration,
+        configuration: Callable[[], Configuration] | None = None,
         zone: str = "",
         region: str = "",
         host_count: Callable[[], int] = lambda: 1,
@@ -55,7 +55,8 @@
         self._settings = settings
         self._timers = timers
         self._rng = rng or random.Random(0)
-        self._terms = Terms(configuration, host_count)
+        defaults = Configuration()
+        self._terms = Terms(configuration or (lambda: defaults), host_count)
         self._prefixes = PrefixIndex(
             settings.belief_half_life, settings.cache_blocks, settings.event_lag
         )
@@ -107,7 +108,8 @@
         pool = self._pools.get(pool_key(request), now)
         check_served(request, pool)
         pool.asked_at[request.priority] = now
-        room = self._dispatcher.room_for(request, pool, now)
+        wanted = self._admission.count_admitted(pool, now) + 1
+        room = self._dispatcher.room_for(request, pool, wanted, now)
         remaining = request.deadline - self._timers.wall()
         self._admission.admit(request, pool, room, remaining, now)
 
@@ -168,10 +170,10 @@
     ) -> Waiter:
         left = max(0, request.max_tokens - prefix_tokens)
         work = self._measure(request, prefix_tokens, left, pool)
-        prefill = min(
-            (t.upstream.load.prefill_seconds for t in pool.members), default=0
+        cost = (
+            work.tokens * pool.prefill_seconds
+            + work.answer_tokens * pool.decode_seconds
         )
-        cost = work.tokens * prefill + work.answer_tokens * pool.decode_seconds
         if not work.is_engine_work:
             cost = pool.hold.value
         return Waiter(
--- a/src/pepperstep/routing/terms.py
+++ b/src/pepperstep/routing/terms.py
@@ -22,6 +22,10 @@
     between_tokens: float = _BETWEEN_TOKENS_SECONDS
 
 
+_ANY_TARGETS = Targets()
+_ANY_WORKSPACE = Workspace()
+
+
 class Terms:
     """What the configuration in force says about requests."""
 
@@ -50,7 +54,7 @@
         """Return the targets of the request's deployment."""
         deployment = self._configuration().deployments.get(request.target)
         if deployment is None:
-            return Targets()
+            return _ANY_TARGETS
         return Targets(
             deployment.first_token_seconds, deployment.between_tokens_seconds
         )
@@ -66,4 +70,4 @@
         )
 
     def _workspace(self, name: str) -> Workspace:
-        return self._configuration().workspaces.get(name) or Workspace()
+        return self._configuration().workspaces.get(name, _ANY_WORKSPACE)
--- a/src/pepperstep/routing/tracked.py
+++ b/src/pepperstep/routing/tracked.py
@@ -12,8 +12,10 @@
 
 _MINIMUM_WINDOW = 60.0
 _ERRING_SECONDS = 30.0
-# Below this part of the places, hosts don't divide them.
-_CALM_PART = 0.5
+# Below this part of the places hosts don't divide them; the second is for
+# classes for which places are kept free.
+_CALM_PART = 0.75
+_KEPT_CALM_PART = 0.5
 
 
 class TrackedUpstream:
@@ -70,18 +72,20 @@
     def has_room(self, share: float) -> bool:
         """Whether an attempt may start, of a class with this share of places.
 
-        One attempt may always run, lest other hosts keep this one out. Where
-        places are kept free for higher classes, hosts divide the others among
-        them, as each sees too late what the rest have started.
+        Each host may always fill its part of the places, as it sees too late
+        what the others have started and ended; it goes beyond only where the
+        upstream is known to be far from full.
         """
-        if self.in_flight == 0:
-            return True
-        total = self.total
         places = self.limit.value * share
-        if total >= places or share >= 1.0:
-            return total < places
-        own_places = places // (self.sharers + 1)
-        return self.in_flight < own_places or total < _CALM_PART * places
+        own_places = places / (self.sharers + 1)
+        calm_part = _CALM_PART
+        if share < 1.0:
+            # Lest the rounding take what is kept free for higher classes.
+            own_places = max(1, int(own_places))
+            calm_part = _KEPT_CALM_PART
+        if self.in_flight < own_places:
+            return True
+        return self.sharers > 0 and self.total < calm_part * places
 
     def note_started(self, tokens: int, now: float) -> None:
         """Count an attempt of this host that starts."""
