--- a/demo/documents.py
+++ b/demo/documents.py
@@ -26,8 +26,7 @@
 def base_document() -> dict:
     """Return a base document with one deployment, for measurements."""
     return {
-        **_shared(),
-        "sites": {"kitahara": {"regions": ["dosanko"]}},
+        **shared_document(),
         "workspaces": {"planners": {}},
         "callers": {
             "desk": {"workspace": "planners", "key_sha256": key_hash(CALLER_KEY)}
--- a/src/pepperstep/adapters/http_upstreams.py
+++ b/src/pepperstep/adapters/http_upstreams.py
@@ -1,8 +1,4 @@
-"""Client of upstreams over HTTP, by httpcore (docs/INTERFACES.md).
-
-Each upstream has a connection pool of its own: one large pool would look at
-every connection for each request.
-"""
+"""Client of upstreams over HTTP, by httpcore (docs/INTERFACES.md)."""
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -12,6 +8,7 @@
 import trio
 
 from pepperstep.adapters.paced_network import PacedBackend
+from pepperstep.adapters.upstream_connections import UpstreamConnections
 from pepperstep.entities import ModelKey, Request, Role, ServiceAnswer, Upstream
 from pepperstep.ports import (
     CacheExport,
@@ -29,13 +26,14 @@
 _CONNECT_SECONDS = 1.0
 # A stream without any byte for this time counts as lost.
 _SILENCE_SECONDS = 15.0
+# The end of a body comes right behind its end mark.
+_TAIL_SECONDS = 0.05
 _CONTROL_SECONDS = 5.0
-_MAX_CONNECTIONS = 1000
-_IDLE_SECONDS = 30.0
 _MAX_EVENT_BYTES = 1024 * 1024
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
 _EVENT_END = b"\n\n"
 _DATA_PREFIX = b"data: "
+_JSON = ((b"content-type", b"application/json"),)
 # Statuses by which an upstream says that it surely didn't run the request.
 _REFUSALS = frozenset({401, 404, 409, 429, 503})
 
@@ -80,13 +78,13 @@
 
 
 class HttpUpstreams:
-    """Upstream client that keeps one connection pool for each upstream."""
+    """Upstream client; its connections to each upstream are kept apart."""
 
     def __init__(self, key: str, ssl_context=None):
         self._headers = [(b"authorization", b"Bearer " + key.encode())]
         self._ssl_context = ssl_context
         self._backend = PacedBackend()
-        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+        self._connections: dict[str, UpstreamConnections] = {}
 
     @asynccontextmanager
     async def generate(
@@ -95,7 +93,7 @@
         """Open an attempt and give its chunks."""
         body = msgspec.json.encode(order)
         request = self._request(upstream, "/engine/v1/generate", body)
-        async with _mapped_errors(), self._pool(upstream).stream(**request) as response:
+        async with self._stream(upstream, request) as response:
             if response.status != 200:
                 raise await _error_of(response)
             silence = trio.move_on_after(_SILENCE_SECONDS)
@@ -125,13 +123,19 @@
         self, upstream: Upstream, request: Request, attempt_id: str
     ) -> ServiceAnswer:
         """Return the whole answer of a plain service."""
-        headers = [
-            (b"content-type", request.content_type.encode() or b"application/json"),
+        content_type = request.content_type.encode() or b"application/json"
+        headers = (
+            (b"content-type", content_type),
             (b"x-attempt-id", attempt_id.encode()),
-        ]
-        call = self._request(upstream, request.path, request.body, headers)
-        call["method"] = request.method.encode()
-        async with _mapped_errors(), self._pool(upstream).stream(**call) as response:
+        )
+        call = self._request(
+            upstream,
+            request.path,
+            request.body,
+            method=request.method,
+            headers=headers,
+        )
+        async with self._stream(upstream, call) as response:
             if _header(response, b"x-not-run"):
                 raise await _error_of(response)
             echoed = _header(response, b"x-attempt-id")
@@ -160,9 +164,9 @@
 
     async def forget(self, address: str) -> None:
         """Close the connections to an upstream that has gone."""
-        pool = self._pools.pop(address, None)
-        if pool is not None:
-            await pool.aclose()
+        connections = self._connections.pop(address, None)
+        if connections is not None:
+            await connections.aclose()
 
     async def _post(
         self,
@@ -172,49 +176,52 @@
         timeout: float = _CONTROL_SECONDS,
     ) -> bytes:
         request = self._request(upstream, path, body, timeout=timeout)
-        async with _mapped_errors(), self._pool(upstream).stream(**request) as response:
+        async with self._stream(upstream, request) as response:
             if response.status != 200:
                 raise await _error_of(response)
             return await _read_whole(response)
 
-    def _pool(self, upstream: Upstream) -> httpcore.AsyncConnectionPool:
-        pool = self._pools.get(upstream.address)
-        if pool is None:
-            pool = httpcore.AsyncConnectionPool(
-                ssl_context=self._ssl_context,
-                max_connections=_MAX_CONNECTIONS,
-                keepalive_expiry=_IDLE_SECONDS,
-                network_backend=self._backend,
-            )
-            self._pools[upstream.address] = pool
-        return pool
+    def _connections_to(self, upstream: Upstream) -> UpstreamConnections:
+        connections = self._connections.get(upstream.address)
+        if connections is None:
+            origin = httpcore.URL(self._url_of(upstream, "/")).origin
+            connections = UpstreamConnections(origin, self._backend, self._ssl_context)
+            self._connections[upstream.address] = connections
+        return connections
+
+    def _url_of(self, upstream: Upstream, path: str) -> str:
+        scheme = "http" if self._ssl_context is None else "https"
+        return f"{scheme}://{upstream.address}{path}"
 
     def _request(
         self,
         upstream: Upstream,
         path: str,
         body: bytes,
-        headers: list[tuple[bytes, bytes]] | None = None,
+        *,
+        method: str = "POST",
+        headers: tuple[tuple[bytes, bytes], ...] = _JSON,
         timeout: float = _SILENCE_SECONDS,
-    ) -> dict:
-        scheme = "http" if self._ssl_context is None else "https"
-        content = headers or [(b"content-type", b"application/json")]
+    ) -> httpcore.Request:
         length = (b"content-length", str(len(body)).encode())
         host = (b"host", upstream.address.encode())
-        return {
-            "method": b"POST",
-            "url": f"{scheme}://{upstream.address}{path}",
-            "headers": [host, length, *content, *self._headers],
-            "content": body,
-            "extensions": {
-                "timeout": {
-                    "connect": _CONNECT_SECONDS,
-                    "read": timeout,
-                    "write": timeout,
-                    "pool": _CONNECT_SECONDS,
-                }
-            },
-        }
+        times = {"connect": _CONNECT_SECONDS, "read": timeout, "write": timeout}
+        return httpcore.Request(
+            method,
+            self._url_of(upstream, path),
+            headers=[host, length, *headers, *self._headers],
+            content=body,
+            extensions={"timeout": times},
+        )
+
+    @asynccontextmanager
+    async def _stream(
+        self, upstream: Upstream, request: httpcore.Request
+    ) -> AsyncIterator[httpcore.Response]:
+        """Send a request; errors in the block become those of the port."""
+        connections = self._connections_to(upstream)
+        async with _mapped_errors(), connections.stream(request) as response:
+            yield response
 
 
 @asynccontextmanager
@@ -255,14 +262,33 @@
     response: httpcore.Response, silence: trio.CancelScope
 ) -> AsyncIterator[TokenChunk | EndMark]:
     rest = b""
-    async for data in response.aiter_stream():
+    stream = response.aiter_stream()
+    connection = response.extensions["network_stream"]
+    async for data in stream:
+        # The first token comes at once, the others at the common ticks.
+        connection.is_paced = True
         silence.deadline = trio.current_time() + _SILENCE_SECONDS
         parts = (rest + data).split(_EVENT_END)
         rest = parts.pop()
         if len(rest) > _MAX_EVENT_BYTES:
             raise UpstreamLost("An event is too long.")
         for part in parts:
-            yield _decode_part(part)
+            event = _decode_part(part)
+            if isinstance(event, EndMark):
+                await _read_tail(response, stream)
+            yield event
+
+
+async def _read_tail(response: httpcore.Response, stream: AsyncIterator[bytes]) -> None:
+    """Read the end of the body, so that the connection can be used again.
+
+    If that takes too long the connection is closed with the response.
+    """
+    response.extensions["network_stream"].is_paced = False
+    with trio.move_on_after(_TAIL_SECONDS):
+        async for data in stream:
+            if data:
+                raise UpstreamLost("The stream goes on behind its end mark.")
 
 
 def _decode_part(part: bytes) -> TokenChunk | EndMark:
--- a/src/pepperstep/adapters/paced_network.py
+++ b/src/pepperstep/adapters/paced_network.py
@@ -18,8 +18,6 @@
 # 25 ms keep any decode time up to 50 ms within the target of 53 ms a token,
 # as a gap becomes the next multiple of the tick.
 TICK_SECONDS = 0.025
-# Reads of one response that don't wait: its headers and its first token.
-_PROMPT_READS = 2
 
 
 class PacedBackend(httpcore.AsyncNetworkBackend):
@@ -54,22 +52,24 @@
 
 
 class _PacedStream(httpcore.AsyncNetworkStream):
-    """A connection; a write begins a new exchange, whose first reads are prompt."""
+    """A connection whose reads wait for ticks while `is_paced` is set.
+
+    A write begins a new exchange and clears it.
+    """
 
     def __init__(self, stream: trio.abc.Stream, tick_seconds: float):
         self._stream = stream
         self._tick_seconds = tick_seconds
-        self._reads = 0
+        self.is_paced = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return what has come in, b"" at the end.
 
-        `timeout` holds for prompt reads only; who reads a stream watches for
-        its silence with one scope, which is cheaper than one for each read.
+        `timeout` holds while reads aren't paced; who reads a paced stream
+        watches for its silence with one scope, which costs less.
         """
-        self._reads += 1
         try:
-            if self._reads > _PROMPT_READS:
+            if self.is_paced:
                 await self._wait_tick()
                 return await self._stream.receive_some(max_bytes)
             with trio.fail_after(timeout or float("inf")):
@@ -81,7 +81,7 @@
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send all of `buffer`."""
-        self._reads = 0
+        self.is_paced = False
         if not buffer:
             return
         try:
