Requests: generated schedules of faults, and what they found

A refusal told while another host had taken the request over, and run it for a repeat with the same key, was not true: it is sent to the new owner now, and without the second's word a keyed request may have run. A claim that was granted to an owner that then lost the request stayed open; the later owner takes and ends it. A reader that should read on elsewhere gets another code than one whose request was refused. tests/requests/test_schedules.py draws crashes, unnoticed restarts, pauses, wrong suspicions, cuts, isolation, handovers, loss, doubling, delays, deaths of upstreams, a log without quorum and lost replies; each attempt generates unlike tokens, so that two readers with different tokens at a position are seen.

--- a/src/pepperstep/requests/acceptance.py
+++ b/src/pepperstep/requests/acceptance.py
@@ -1,7 +1,7 @@
 """Takes requests on: key, record at a second host, and claim."""
 
 from pepperstep.claims import ClaimAnswer, ClaimStatus
-from pepperstep.entities import Request
+from pepperstep.entities import Outcome, Request
 from pepperstep.errors import Code, Execution, Failure
 from pepperstep.ports import Timers
 from pepperstep.requests.claim_book import ClaimBook, RecordedAnswer, claim_key
@@ -15,6 +15,8 @@
 # A request that isn't recorded or claimed after this time is refused.
 _ACCEPT_SECONDS = 3.0
 _RETRY_SECONDS = 0.1
+# A second that hasn't recorded a refusal after this time may not know of it.
+_REFUSE_SECONDS = 0.5
 # Time that an earlier request with the key is searched for.
 _SEARCH_SECONDS = 3.0
 
@@ -78,6 +80,38 @@
                 raise _doubtful(holder)
             await self._timers.sleep(_RETRY_SECONDS)
 
+    async def take_claim(self, run: Run) -> None:
+        """Take over the claim of an ended run's earlier owner, if it is open."""
+        while run.claim is None and run.is_kept and not run.is_lost:
+            try:
+                answer = await self._ask_claim(run)
+            except Failure as failure:
+                if failure.code is not Code.NO_QUORUM:
+                    return
+                await self._timers.sleep(_RETRY_SECONDS)
+                continue
+            if not answer.is_granted:
+                return
+            run.claim = answer.claim
+
+    async def refuse(self, run: Run, failure: Failure) -> Failure:
+        """End a run that won't run, and return what to tell its caller.
+
+        A caller with the same key could make another host run it that has a copy
+        and doesn't know of the refusal: it may have run, as far as is known here.
+        """
+        run.outcome = _outcome_of(failure)
+        is_safe = not run.request.idempotency_key or not self._journal.is_sent(run)
+        if not is_safe:
+            with self._timers.move_on_after(_REFUSE_SECONDS):
+                is_safe = await self._journal.confirm(run)
+        if not is_safe:
+            failure.execution = Execution.MAY_HAVE_RUN
+            run.outcome = _outcome_of(failure)
+        run.refuse()
+        self._journal.mark(run, is_urgent=True)
+        return failure
+
     async def _reserve(self, request: Request) -> str:
         """Return the id of the request that has the idempotency key."""
         replaces = ""
@@ -116,7 +150,7 @@
             claim_key(request),
             request.id,
             request.fingerprint,
-            self._seconds_left(run),
+            _ACCEPT_SECONDS if run.outcome else self._seconds_left(run),
             run.epoch,
         )
 
@@ -133,6 +167,15 @@
         self._journal.mark(run, is_urgent=True)
 
 
+def _outcome_of(failure: Failure) -> Outcome:
+    return Outcome(
+        code=failure.code,
+        text=failure.text,
+        execution=failure.execution,
+        retry_after=failure.retry_after,
+    )
+
+
 def _conflict() -> Failure:
     return Failure(
         Code.IDEMPOTENCY_CONFLICT,
--- a/src/pepperstep/requests/journal.py
+++ b/src/pepperstep/requests/journal.py
@@ -112,6 +112,12 @@
         if link is not None:
             link.mark(run, is_urgent)
 
+    def is_sent(self, run: Run) -> bool:
+        """Whether another host may have a copy of the run."""
+        link = self._link_of.get(run.id)
+        is_open = link is not None and link.message.second_incarnation
+        return bool(is_open or run.priors)
+
     async def confirm(self, run: Run) -> bool:
         """Return True once the second has the run's present state.
 
--- a/src/pepperstep/requests/reader.py
+++ b/src/pepperstep/requests/reader.py
@@ -47,7 +47,7 @@
         """Yield the parts from `position` on; the last one has the outcome.
 
         Raise `Failure` with `UNKNOWN_REQUEST` if no host knows the request, and
-        with `NOT_READY` if the caller should go on reading at another host.
+        with `PEER_UNREACHABLE` if the caller should read on at another host.
         """
         owner = ""
         while True:
@@ -101,7 +101,7 @@
         since = run.stalled_since
         if since is not None and self._timers.now() - since > _STALL_SECONDS:
             raise Failure(
-                Code.NOT_READY,
+                Code.PEER_UNREACHABLE,
                 "This host is cut off; read on at another entry host.",
                 execution=Execution.MAY_HAVE_RUN,
                 retry_after=1.0,
@@ -158,7 +158,7 @@
     if whereabouts is not Whereabouts.HELD:
         return _unknown(request_id)
     return Failure(
-        Code.NOT_READY,
+        Code.PEER_UNREACHABLE,
         f"{request_id} waits for its takeover; ask again.",
         execution=Execution.MAY_HAVE_RUN,
         retry_after=1.0,
--- a/src/pepperstep/requests/run.py
+++ b/src/pepperstep/requests/run.py
@@ -146,9 +146,8 @@
         self._is_outcome_acknowledged |= has_outcome
         self._publish()
 
-    def refuse(self, outcome: Outcome) -> None:
-        """End a run that wasn't accepted; its readers get `outcome` at once."""
-        self.outcome = outcome
+    def refuse(self) -> None:
+        """Let readers have the outcome of a run that wasn't accepted at once."""
         self._is_outcome_released = True
         self._notify()
 
--- a/src/pepperstep/requests/service.py
+++ b/src/pepperstep/requests/service.py
@@ -6,7 +6,7 @@
 import trio
 from absl import logging
 
-from pepperstep.entities import Host, Outcome, Request
+from pepperstep.entities import Host, Request
 from pepperstep.errors import Code, Failure
 from pepperstep.observability.recorder import Recorder
 from pepperstep.ports import (
@@ -193,9 +193,12 @@
         try:
             submission.request_id = await self._acceptance.accept(run)
         except Failure as failure:
-            submission.failure = failure
+            if run.is_lost:
+                # Its new owner may run it for another caller with the key.
+                submission.request_id = run.id
+            else:
+                submission.failure = await self._refuse(run, failure)
             submission.done.set()
-            await self._refuse(run, failure)
             return
         submission.done.set()
         if submission.request_id != run.id:
@@ -204,19 +207,12 @@
             return
         await self._drive(run)
 
-    async def _refuse(self, run: Run, failure: Failure) -> None:
-        """End a run that won't run, here and at its second."""
+    async def _refuse(self, run: Run, failure: Failure) -> Failure:
+        """End a run that won't run, and return what to tell its caller."""
+        failure = await self._acceptance.refuse(run, failure)
         self._note_end(run)
-        run.refuse(
-            Outcome(
-                code=failure.code,
-                text=failure.text,
-                execution=failure.execution,
-                retry_after=failure.retry_after,
-            )
-        )
-        self._journal.mark(run, is_urgent=True)
         await self._settle_claim(run)
+        return failure
 
     async def _drive(self, run: Run) -> None:
         if run.outcome is None:
@@ -226,10 +222,14 @@
 
     async def _settle_claim(self, run: Run) -> None:
         """Record with the claim how the run ended."""
-        if run.claim is None or run.outcome is None:
+        if run.outcome is None:
             return
-        outcome = claim_outcome(run.tokens, run.outcome)
-        await self._claims.finish(run.claim, outcome, _FINISH_SECONDS)
+        if run.claim is None and run.epoch > 1 and not run.request.is_repeatable:
+            # The earlier owner's claim may be open.
+            await self._acceptance.take_claim(run)
+        if run.claim is not None:
+            outcome = claim_outcome(run.tokens, run.outcome)
+            await self._claims.finish(run.claim, outcome, _FINISH_SECONDS)
 
     def _take_in(self, run: Run) -> None:
         run.reader_left_at = self._timers.now()
--- /dev/null
+++ b/tests/requests/test_schedules.py
@@ -0,0 +1,271 @@
+"""Generated faults at any moment; callers check what they get."""
+
+import contextlib
+import itertools
+import random
+from collections import Counter
+from dataclasses import dataclass, replace
+from functools import partial
+
+import pytest
+import trio
+import trio.testing
+from hypothesis import HealthCheck, example, given, settings, strategies as st
+
+from pepperstep.entities import Outcome, Request
+from pepperstep.errors import Code, Execution, Failure
+from pepperstep.fakes import FakeService, upstreams as fake_upstreams
+from tests.requests.entry_hosts import HostCrashed, Hosts
+
+HOSTS = 4
+# Seconds that a caller waits for something new before it goes elsewhere.
+PATIENCE = 6.0
+PLACES = st.integers(0, HOSTS - 1)
+KINDS = ("crash", "restart", "pause", "suspect", "cut", "isolate", "leave")
+KINDS += ("trouble", "engine", "quote", "quorum", "lost_reply")
+# What happens, to which hosts, for how long, and the time before the next step;
+# in tenths of a second.
+STEPS = st.tuples(
+    st.sampled_from(KINDS), PLACES, PLACES, st.integers(0, 40), st.integers(0, 12)
+)
+
+
+@dataclass
+class Faults:
+    """Carries out steps; each fault ends after a time."""
+
+    hosts: Hosts
+    nursery: trio.Nursery
+
+    async def take(self, kind, place, other, duration, gap) -> None:
+        names = list(self.hosts.directory.hosts)
+        step = getattr(self, f"_{kind}")
+        self.nursery.start_soon(step, names[place], names[other], duration / 10)
+        await trio.sleep(gap / 10)
+
+    async def _crash(self, name, other, seconds) -> None:
+        if name in self.hosts.all and len(self.hosts.all) > 2:
+            self.hosts.crash(name)
+            await trio.sleep(seconds / 4)
+            self.hosts.declare_gone(name)
+            await trio.sleep(seconds)
+            await self.hosts.start_host(name)
+
+    async def _restart(self, name, other, seconds) -> None:
+        """Restart a host faster than the others notice."""
+        if name in self.hosts.all and len(self.hosts.all) > 2:
+            self.hosts.lose_host(name)
+            await self.hosts.start_host(name)
+
+    async def _pause(self, name, other, seconds) -> None:
+        if name in self.hosts.all:
+            timers = self.hosts.all[name].timers
+            timers.pause()
+            await trio.sleep(seconds)
+            timers.resume()
+
+    async def _suspect(self, name, other, seconds) -> None:
+        life = self.hosts.directory.lives[name]
+        self.hosts.directory.gone[name] = life
+        await trio.sleep(seconds)
+        if name in self.hosts.all and self.hosts.directory.lives[name] == life:
+            self.hosts.directory.gone[name] = life - 1
+
+    async def _cut(self, name, other, seconds) -> None:
+        self.hosts.network.cut(name, other)
+        await trio.sleep(seconds)
+        self.hosts.network._cuts.discard((name, other))
+
+    async def _isolate(self, name, other, seconds) -> None:
+        self.hosts.network.isolate(name)
+        self.hosts.log.cut_hosts.add(name)
+        await trio.sleep(seconds)
+        self.hosts.network.heal()
+        self.hosts.log.cut_hosts.discard(name)
+
+    async def _leave(self, name, other, seconds) -> None:
+        if name not in self.hosts.all or len(self.hosts.all) <= 2:
+            return
+        life = self.hosts.directory.lives[name]
+        self.hosts.directory.leaving.add(name)
+        with trio.move_on_after(seconds):
+            with contextlib.suppress(HostCrashed):
+                await self.hosts.call(name, lambda service: service.hand_over())
+        if self.hosts.directory.lives[name] == life and name in self.hosts.all:
+            self.hosts.lose_host(name)
+            await self.hosts.start_host(name)
+        self.hosts.directory.leaving.discard(name)
+
+    async def _trouble(self, name, other, seconds) -> None:
+        network = self.hosts.network
+        network.loss, network.duplication, network.max_delay = 0.1, 0.3, 0.2
+        await trio.sleep(seconds)
+        network.loss, network.duplication, network.max_delay = 0.0, 0.0, 0.0005
+
+    async def _engine(self, name, other, seconds) -> None:
+        engine = random.Random(seconds).choice(self.hosts.upstreams.engines)
+        engine.die()
+        await trio.sleep(seconds)
+        engine.start_again()
+
+    async def _quote(self, name, other, seconds) -> None:
+        service = self.hosts.upstreams.all["quote-0"]
+        service.dies = ("before", "during", "after")[int(seconds * 10) % 3]
+        await trio.sleep(seconds)
+        service.dies, service.is_alive = "", True
+
+    async def _quorum(self, name, other, seconds) -> None:
+        self.hosts.log.has_quorum = False
+        await trio.sleep(seconds)
+        self.hosts.log.has_quorum = True
+
+    async def _lost_reply(self, name, other, seconds) -> None:
+        self.hosts.log.lost_replies += 1
+
+
+class CountingService(FakeService):
+    """A plain service that counts runs by request id too."""
+
+    runs_by_id: Counter[str] = Counter()
+
+    async def call(self, request: Request):
+        """Run the call."""
+        before = self.runs[request.body]
+        try:
+            return await super().call(request)
+        finally:
+            self.runs_by_id[request.id] += self.runs[request.body] - before
+
+
+class Caller:
+    """Sends a request until it has its end, as a patient client would."""
+
+    def __init__(self, hosts: Hosts, request: Request, number: int):
+        self.hosts = hosts
+        self.request = request
+        self.number = number
+        self.rng = random.Random(number)
+        self.sent_id = ""
+        self.request_id = ""
+        self.tokens: list[str] = []
+        self.outcome: Outcome | None = None
+
+    async def run(self) -> None:
+        """Return once there is an answer, or nothing else can come."""
+        for number in itertools.count():
+            name = self.rng.choice(sorted(self.hosts.all))
+            try:
+                with trio.move_on_after(PATIENCE):
+                    await self._try(name, number)
+            except HostCrashed:
+                continue
+            except Failure as failure:
+                self._note(
+                    Outcome(code=failure.code, execution=failure.execution), number
+                )
+            if self.outcome is not None:
+                return
+            await trio.sleep(self.rng.random())
+
+    async def _try(self, name: str, number: int) -> None:
+        if not self.request_id:
+            self.sent_id = f"{name}.{self.number}-{number}"
+            request = replace(self.request, id=self.sent_id)
+            submitted = await self.hosts.call(name, lambda s: s.submit(request))
+            self.request_id = submitted.id
+        read = partial(
+            self.hosts.read_into,
+            self.tokens,
+            request_id=self.request_id,
+            position=len(self.tokens),
+        )
+        outcome = await self.hosts.call(name, lambda service: read(service))
+        self._note(outcome, number)
+
+    def _note(self, outcome: Outcome, number: int) -> None:
+        is_final = outcome.is_answered or (
+            outcome.execution is Execution.MAY_HAVE_RUN
+            and not self.request.is_repeatable
+            and outcome.code is not Code.PEER_UNREACHABLE
+        )
+        if is_final:
+            self.outcome = outcome
+            return
+        if outcome.execution is Execution.NOT_RUN and not self.request.is_repeatable:
+            told = self.request_id or self.sent_id
+            assert CountingService.runs_by_id[told] == 0, outcome
+        if self.request_id and outcome.code is Code.PEER_UNREACHABLE:
+            return
+        # Lost, refused or failed: a new request with the same key.
+        self.request_id = ""
+        self.tokens.clear()
+
+
+async def run_schedule(steps) -> None:
+    """Run steps while callers send, then let all faults end."""
+    CountingService.runs_by_id = Counter()
+    async with Hosts.start(count=HOSTS) as hosts:
+        for name in ("quote-0", "quote-1"):
+            hosts.upstreams.add(CountingService(name, "quote-api", "", 0.3))
+        chats = [
+            hosts.request(number=n, idempotency_key=f"chat-{n}", max_tokens=250)
+            for n in range(4)
+        ]
+        quotes = [hosts.quote(number=10 + n) for n in range(4)]
+        callers = [
+            Caller(hosts, request, number)
+            for number, request in enumerate((chats + quotes) * 2)
+        ]
+        with trio.fail_after(200):
+            async with trio.open_nursery() as nursery:
+                for number, caller in enumerate(callers):
+                    nursery.start_soon(_run_later, caller, 0.6 * (number // 2))
+                faults = Faults(hosts, nursery)
+                for step in steps:
+                    await faults.take(*step)
+        check(hosts, callers)
+
+
+async def _run_later(caller: Caller, seconds: float) -> None:
+    await trio.sleep(seconds)
+    await caller.run()
+
+
+def check(hosts: Hosts, callers: list[Caller]) -> None:
+    """Assert that each caller has its own whole answer, and nothing ran twice."""
+    for caller in callers:
+        request = caller.request
+        if request.is_repeatable:
+            assert caller.outcome.is_answered
+            positions = [int(token.partition(":")[0]) for token in caller.tokens]
+            assert positions == list(range(request.max_tokens))
+            continue
+        runs = hosts.runs_of(request)
+        assert runs <= 1
+        if caller.outcome.is_answered:
+            assert runs == 1
+            assert caller.outcome.service.body == b"done " + request.body
+
+
+@pytest.fixture
+def unlike_tokens(monkeypatch):
+    """Let each attempt generate other tokens at a position."""
+    numbers = itertools.count()
+    monkeypatch.setattr(
+        fake_upstreams,
+        "answer_token",
+        lambda key, seed, prompt, position: f"{position}:{next(numbers)}",
+    )
+
+
+@settings(
+    max_examples=25,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+@given(st.lists(STEPS, min_size=2, max_size=12))
+@example([])
+def test_any_schedule(unlike_tokens, steps):
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(run_schedule, steps, clock=clock)
