--- /dev/null
+++ b/measure/main.py
@@ -0,0 +1,48 @@
+"""The tool `pepperstep-measure`: measures by subcommand."""
+
+import sys
+from collections.abc import Callable
+
+from absl import app
+
+__all__ = ["main"]
+
+
+def _policies() -> Callable:
+    from measure import policies
+
+    return policies.main
+
+
+def _relay() -> Callable:
+    from measure import relay
+
+    return relay.main
+
+
+def _routing() -> Callable:
+    from measure import routing
+
+    def run(arguments: list[str]) -> None:
+        sys.argv = arguments
+        routing.main()
+
+    return run
+
+
+# Each imports its module only when it's asked for, as flags are global.
+_COMMANDS = {"policies": _policies, "relay": _relay, "routing": _routing}
+
+
+def main() -> None:
+    """Run the subcommand that the first argument names."""
+    name = sys.argv[1] if len(sys.argv) > 1 else ""
+    if name not in _COMMANDS:
+        names = ", ".join(_COMMANDS)
+        sys.exit(f"usage: pepperstep-measure COMMAND [FLAGS]; one of {names}")
+    command = _COMMANDS[name]()
+    app.run(command, argv=[f"pepperstep-measure {name}", *sys.argv[2:]])
+
+
+if __name__ == "__main__":
+    main()
