--- a/src/pepperstep/fakes/hosts.py
+++ b/src/pepperstep/fakes/hosts.py
@@ -252,6 +252,18 @@
             await parts.aclose()
         raise AssertionError("The answer has no end.")
 
+    def announce(self, each) -> None:
+        """Renew an upstream's lease at an entry host that runs."""
+        self._sequence += 1
+        running = [h for h in self.hosts.values() if not h.timers.is_paused]
+        if not running:
+            return
+        host = self._rng.choice(running)
+        upstream = each.upstream
+        if hasattr(each, "load"):
+            upstream = replace(upstream, load=each.load)
+        host.node.registry.announce(upstream, self._sequence)
+
     async def _run_host(self, name: str, task_status) -> None:
         async with trio.open_nursery() as nursery:
             rng = random.Random(self._rng.random())
@@ -332,16 +344,5 @@
         while True:
             for each in list(self.upstreams.all.values()):
                 if each.is_alive and self.hosts:
-                    self._announce(each)
+                    self.announce(each)
             await trio.sleep(_HEARTBEAT_SECONDS)
-
-    def _announce(self, each) -> None:
-        self._sequence += 1
-        running = [h for h in self.hosts.values() if not h.timers.is_paused]
-        if not running:
-            return
-        host = self._rng.choice(running)
-        upstream = each.upstream
-        if hasattr(each, "load"):
-            upstream = replace(upstream, load=each.load)
-        host.node.registry.announce(upstream, self._sequence)
--- a/src/pepperstep/fakes/steps.py
+++ b/src/pepperstep/fakes/steps.py
@@ -49,9 +49,9 @@
 
     kind: StepKind
     host: str
-    # Attempt id, file, name of a call, or the receiver of a message.
+    # Attempt id, operation and file, name of a call, or receiver of a message.
     subject: str
-    # Message, chunk, answer or upstream.
+    # Message, data, chunk, answer or upstream.
     detail: Any = None
 
 
@@ -106,27 +106,27 @@
 
     async def append(self, name: str, data: bytes) -> None:
         """Write `data` at the end of the file."""
-        await self._take(StepKind.WRITE, name, "append")
+        await self._take(StepKind.WRITE, f"append {name}", data)
         await self._disk.append(name, data)
 
     async def sync(self, name: str) -> None:
         """Make the file durable."""
-        await self._take(StepKind.WRITE, name, "sync")
+        await self._take(StepKind.WRITE, f"sync {name}")
         await self._disk.sync(name)
 
     async def replace(self, name: str, data: bytes) -> None:
         """Put `data` in place of the content, durably."""
-        await self._take(StepKind.WRITE, name, "replace")
+        await self._take(StepKind.WRITE, f"replace {name}", data)
         await self._disk.replace(name, data)
 
     async def truncate(self, name: str, size: int) -> None:
         """Cut the file to its first `size` bytes, durably."""
-        await self._take(StepKind.WRITE, name, "truncate")
+        await self._take(StepKind.WRITE, f"truncate {name}")
         await self._disk.truncate(name, size)
 
     async def delete(self, name: str) -> None:
         """Remove the file, durably."""
-        await self._take(StepKind.WRITE, name, "delete")
+        await self._take(StepKind.WRITE, f"delete {name}")
         await self._disk.delete(name)
 
 
