--- a/src/pepperstep/routing/breakers.py
+++ b/src/pepperstep/routing/breakers.py
@@ -1,7 +1,6 @@
 """Ejects upstreams that fail or are slow, and lets them return."""
 
 import enum
-from collections import deque
 from collections.abc import Callable, Sequence
 
 from pepperstep.routing.settings import RoutingSettings
@@ -14,7 +13,7 @@
 
     HEALTHY = "healthy"
     EJECTED = "ejected"
-    # Gets single requests, which decide.
+    # Gets one request at a time, which decides.
     RECOVERING = "recovering"
 
 
@@ -28,9 +27,6 @@
         self.ejections = 0
         # Failures in a row while healthy.
         self.failures = 0
-        # Results while recovering, and the recent ones with their times.
-        self.results: list[bool] = []
-        self.window: deque[tuple[float, bool]] = deque()
         # Requests in flight that test a recovering upstream.
         self.probes = 0
         self._wait = settings.ejection_base
@@ -41,7 +37,6 @@
         """Return the state, which turns to recovering once the time is over."""
         if self.state is BreakerState.EJECTED and now >= self._return_at:
             self.state = BreakerState.RECOVERING
-            self.results.clear()
         return self.state
 
     def eject(self, now: float) -> None:
@@ -54,18 +49,13 @@
         self.ejections += 1
         self._return_at = now + self._wait
         self._wait = min(2 * self._wait, self.settings.ejection_cap)
-        self._reset()
+        self.failures = 0
 
     def admit(self, now: float) -> None:
         """End an ejection."""
         self.state = BreakerState.HEALTHY
         self._healthy_since = now
-        self._reset()
-
-    def _reset(self) -> None:
         self.failures = 0
-        self.results.clear()
-        self.window.clear()
 
 
 BreakerPolicy = Callable[[Breaker, bool, float], None]
@@ -91,36 +81,9 @@
         breaker.eject(now)
 
 
-def note_states(breaker: Breaker, is_good: bool, now: float) -> None:
-    """Eject by the share of failures; a higher share of successes ends it."""
-    settings = breaker.settings
-    if breaker.state is BreakerState.RECOVERING:
-        breaker.results.append(is_good)
-        _judge_recovery(breaker, now)
-    elif breaker.state is BreakerState.HEALTHY:
-        breaker.window.append((now, is_good))
-        while now - breaker.window[0][0] > settings.breaker_window:
-            breaker.window.popleft()
-        failed = sum(not each for _, each in breaker.window)
-        is_enough = len(breaker.window) >= settings.breaker_samples
-        if is_enough and failed > settings.breaker_share * len(breaker.window):
-            breaker.eject(now)
-
-
-def _judge_recovery(breaker: Breaker, now: float) -> None:
-    settings = breaker.settings
-    wanted = settings.recovering_samples
-    failed = breaker.results.count(False)
-    if failed > (1 - settings.recovering_share) * wanted:
-        breaker.eject(now)
-    elif len(breaker.results) >= wanted:
-        breaker.admit(now)
-
-
 BREAKERS: dict[str, BreakerPolicy] = {
     "none": note_nothing,
     "consecutive": note_consecutive,
-    "states": note_states,
 }
 
 
--- a/src/pepperstep/routing/dispatch.py
+++ b/src/pepperstep/routing/dispatch.py
@@ -219,8 +219,7 @@
             breaker = tracked.breaker
             if breaker not in ejected or breaker.state is not BreakerState.RECOVERING:
                 continue
-            is_free = breaker.probes < self._settings.recovering_in_flight
-            if is_free and tracked.has_room(share):
+            if breaker.probes == 0 and tracked.has_room(share):
                 return tracked
         return None
 
--- a/src/pepperstep/routing/limits.py
+++ b/src/pepperstep/routing/limits.py
@@ -1,6 +1,5 @@
 """Limits on attempts in flight, fixed or adapted to measured latency."""
 
-import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -9,8 +8,6 @@
 __all__ = ["LIMITS", "AdaptiveLimit", "LatencySample", "LimitPolicy"]
 
 _DECREASE = 0.9
-_LEAST_GRADIENT = 0.5
-_SMOOTHING = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,21 +37,9 @@
     return limit + 1 / limit if sample.is_limited else limit
 
 
-def adapt_gradient(limit: float, sample: LatencySample, tolerance: float) -> float:
-    """Return a limit scaled by expected over measured latency, plus a root."""
-    expected = sample.expected * tolerance + sample.slack
-    gradient = expected / max(sample.measured, 1e-9)
-    gradient = max(_LEAST_GRADIENT, min(1.0, gradient))
-    if gradient == 1.0 and not sample.is_limited:
-        return limit
-    target = limit * gradient + math.sqrt(limit)
-    return limit + _SMOOTHING * (target - limit)
-
-
 LIMITS: dict[str, LimitPolicy] = {
     "fixed": keep_fixed,
     "aimd": adapt_aimd,
-    "gradient": adapt_gradient,
 }
 
 
--- a/src/pepperstep/routing/pools.py
+++ b/src/pepperstep/routing/pools.py
@@ -13,8 +13,6 @@
 
 __all__ = ["Pool", "Pools", "UpstreamView"]
 
-# A view with versions is looked at no more often than this.
-_SYNC_SECONDS = 0.02
 _TOKENS_PER_CHARACTER = 0.25
 # Predicted waits from which on errors are learned, and the largest error.
 _LEAST_WAIT = 0.1
@@ -22,11 +20,7 @@
 
 
 class UpstreamView(Protocol):
-    """Upstreams that live and take new work, as this host knows them.
-
-    A view may have a `version` that changes whenever the candidates or their
-    load do; without it they are asked for at each choice.
-    """
+    """Upstreams that live and take new work, as this host knows them."""
 
     def candidates(self) -> Iterable[Upstream]:
         """Return the upstreams with a lease that aren't leaving."""
@@ -111,7 +105,6 @@
         self._forget = forget
         self._pools: dict[Hashable, Pool] = {}
         self._tracked: dict[str, TrackedUpstream] = {}
-        self._version: object = None
         self._synced_at = float("-inf")
 
     def __iter__(self):
@@ -126,6 +119,9 @@
         """Return the pool of a key, brought up to date."""
         self.sync(now)
         pool = self._pools.get(key)
+        if pool is None or not pool.members:
+            self.sync(now, 0.0)
+            pool = self._pools.get(key)
         if pool is None:
             pool = self._pools[key] = Pool(key, self._new_queue())
         return pool
@@ -137,16 +133,13 @@
             return None
         return tracked
 
-    def sync(self, now: float) -> None:
-        """Bring all pools up to date."""
-        version = getattr(self._view, "version", None)
-        is_same = version is not None and version == self._version
-        is_recent = version is not None and now - self._synced_at < _SYNC_SECONDS
-        if is_same or is_recent:
-            return
-        self._version = version
-        self._synced_at = now
-        self._track(self._view.candidates(), now)
+    def sync(self, now: float, oldest: float | None = None) -> None:
+        """Bring all pools up to date, if they are older than some seconds."""
+        if oldest is None:
+            oldest = self._settings.view_period
+        if now - self._synced_at >= oldest:
+            self._synced_at = now
+            self._track(self._view.candidates(), now)
 
     def _track(self, candidates: Iterable[Upstream], now: float) -> None:
         before = self._tracked
--- a/src/pepperstep/routing/router.py
+++ b/src/pepperstep/routing/router.py
@@ -81,7 +81,7 @@
     @property
     def status(self) -> RoutingStatus:
         """The state of the queues, limits and upstreams now."""
-        self._pools.sync(self._timers.now())
+        self._pools.sync(self._timers.now(), 0.0)
         return RoutingStatus(
             in_flight=self._dispatcher.in_flight,
             host_limit=self._dispatcher.host_limit,
@@ -210,7 +210,7 @@
         if ending is None:
             return RetryCause.DIED
         now = self._timers.now()
-        self._pools.sync(now)
+        self._pools.sync(now, 0.0)
         tracked = self._pools.find(ending.upstream, ending.epoch)
         if tracked is None or tracked.upstream.is_leaving:
             return RetryCause.RECLAIMED
--- a/src/pepperstep/routing/settings.py
+++ b/src/pepperstep/routing/settings.py
@@ -16,7 +16,7 @@
 Number = Annotated[float, Field(ge=0, strict=True)]
 Share = Annotated[float, Field(ge=0, le=1, strict=True)]
 ClassShare = Annotated[float, Field(gt=0, le=2, strict=True)]
-LimitPolicy = Literal["fixed", "aimd", "gradient"]
+LimitPolicy = Literal["fixed", "aimd"]
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -34,11 +34,13 @@
     queue: Literal["fair", "fifo"] = "fair"
     limit: LimitPolicy = "aimd"
     host_limit: LimitPolicy = "aimd"
-    breaker: Literal["none", "consecutive", "states"] = "consecutive"
+    breaker: Literal["none", "consecutive"] = "consecutive"
     refuses_early: Flag = True
 
     # Upstreams drawn at random for each choice, besides the best prefix's.
     choices: Count = 3
+    # How old the list of upstreams may be.
+    view_period: Seconds = 0.02
     # How old a load report may be when it arrives.
     report_lag: Seconds = 1.5
     # Share of the prefills in progress that a new one waits for.
@@ -91,17 +93,9 @@
     death_seconds: Seconds = 5.0
 
     # Largest share of a deployment's upstreams that are ejected.
-    max_ejected_share: Share = 0.5
-    # Failures in a row, or share of failures in the window, that eject.
-    breaker_failures: Count = 3
-    breaker_window: Seconds = 10.0
-    breaker_samples: Count = 5
-    breaker_share: Share = 0.5
-    # Successes while recovering, and their share, that end an ejection.
-    recovering_samples: Count = 8
-    recovering_share: Share = 0.9
-    # Requests in flight at a time that test a recovering upstream.
-    recovering_in_flight: Count = 1
+    max_ejected_share: Share = 0.25
+    # Failures in a row that eject, and the time that doubles each time.
+    breaker_failures: Count = 5
     ejection_base: Seconds = 1.0
     ejection_cap: Seconds = 30.0
     # A first token later than this, and than the lower quartile of the
