Requests: a request that comes back to an earlier owner

A host that took a request over again still had the run of its earlier ownership; when that one was given up, the new run lost its link and stalled. Runs are told apart by identity now, and the earlier one ends at the takeover. What an owner gives up is forgotten by its second too, as readers were told for ever that it was held.

--- a/src/pepperstep/requests/held.py
+++ b/src/pepperstep/requests/held.py
@@ -243,6 +243,8 @@
         self, held: _HeldLink, batch: journal_pb2.JournalBatch
     ) -> journal_pb2.JournalAck:
         ack = journal_pb2.JournalAck()
+        for request_id in batch.forgotten:
+            held.records.pop(request_id, None)
         for record in batch.records:
             self._store(held, record)
         for checkpoint in batch.checkpoints:
--- a/src/pepperstep/requests/journal.py
+++ b/src/pepperstep/requests/journal.py
@@ -149,10 +149,7 @@
 
     def remove(self, run: Run) -> None:
         """Stop to keep a run, which has ended some time ago."""
-        run.forget()
-        link = self._link_of.pop(run.id, None)
-        if link is not None:
-            link.remove(run)
+        self._remove(run, JournalLink.remove)
 
     async def hand_over(self) -> None:
         """Ask all seconds to take over what this host owns."""
@@ -161,6 +158,13 @@
                 if not link.is_ended:
                     nursery.start_soon(link.hand_over)
 
+    def _remove(self, run: Run, remove: Callable[[JournalLink, Run], bool]) -> None:
+        run.forget()
+        link = self._link_of.get(run.id)
+        # The request may have come back to this host as another run.
+        if link is not None and remove(link, run):
+            del self._link_of[run.id]
+
     def _release(self, run: Run) -> None:
         run.acknowledge(len(run.tokens), run.outcome is not None, run.version)
 
@@ -219,7 +223,8 @@
         self._seconds = []
         runs = link.runs
         for run in runs:
-            self._link_of.pop(run.id, None)
+            if self._link_of.get(run.id) is link:
+                del self._link_of[run.id]
         if not link.message.second_incarnation:
             # Nothing was sent yet.
             self._nursery.start_soon(self._add_all_again, runs)
@@ -307,7 +312,7 @@
         """Leave the runs of a link to its second, which has taken it over."""
         runs = [run for run in runs if not run.is_lost]
         for run in runs:
-            self.remove(run)
+            self._remove(run, JournalLink.forget)
             run.priors = [prior for prior in run.priors if prior != link]
             run.lose(link.second)
         if runs:
--- a/src/pepperstep/requests/link.py
+++ b/src/pepperstep/requests/link.py
@@ -66,6 +66,8 @@
         self._sent: dict[str, _Sent] = {}
         # Ids of runs that have changed, in the order of their changes.
         self._dirty: dict[str, None] = {}
+        # Ids of runs that the second is to forget.
+        self._forgotten: list[str] = []
         self._is_urgent = False
         self._wake = trio.Event()
         self._sequence = 0
@@ -94,10 +96,22 @@
         if is_wake_due:
             self._wake.set()
 
-    def remove(self, run: Run) -> None:
-        """Send nothing more of the run; the second keeps what it has."""
-        self._sent.pop(run.id, None)
+    def remove(self, run: Run) -> bool:
+        """Send nothing more of the run, return whether the link kept it."""
+        sent = self._sent.get(run.id)
+        if sent is None or sent.run is not run:
+            return False
+        del self._sent[run.id]
         self._dirty.pop(run.id, None)
+        return True
+
+    def forget(self, run: Run) -> bool:
+        """Remove the run here and at the second, return whether the link kept it."""
+        if not self.remove(run):
+            return False
+        self._forgotten.append(run.id)
+        self._wake.set()
+        return True
 
     async def run(self) -> None:
         """Open the link and send batches until it ends."""
@@ -139,7 +153,7 @@
         self.message.second_incarnation = answer.second_incarnation
 
     async def _wait_dirty(self) -> None:
-        while not (self._dirty or self.is_ended):
+        while not (self._dirty or self._forgotten or self.is_ended):
             self._wake = trio.Event()
             await self._wake.wait()
         if self._is_urgent or self.is_ended:
@@ -150,7 +164,7 @@
 
     async def _send_batch(self) -> None:
         batch, steps = self._build_batch()
-        if not steps:
+        if not steps and not batch.forgotten:
             return
         try:
             ack = await self._peers.call(self.second, batch, _CALL_SECONDS)
@@ -161,11 +175,14 @@
         self._failing_since = None
         # What a second acknowledges to an ended link doesn't count.
         if not self.is_ended:
+            del self._forgotten[: len(batch.forgotten)]
             self._take_ack(ack, steps)
 
     def _build_batch(self) -> tuple[journal_pb2.JournalBatch, list[_Step]]:
         self._sequence += 1
-        batch = journal_pb2.JournalBatch(link=self.message, sequence=self._sequence)
+        batch = journal_pb2.JournalBatch(
+            link=self.message, sequence=self._sequence, forgotten=self._forgotten
+        )
         steps: list[_Step] = []
         size = 0
         while self._dirty and size < _MAX_BATCH_BYTES:
--- a/src/pepperstep/requests/service.py
+++ b/src/pepperstep/requests/service.py
@@ -232,6 +232,11 @@
             await self._claims.finish(run.claim, outcome, _FINISH_SECONDS)
 
     def _take_in(self, run: Run) -> None:
+        earlier = self._owned.get(run.id)
+        if earlier is not None:
+            # The request comes back to this host by another owner.
+            self._journal.remove(earlier)
+            earlier.lose()
         run.reader_left_at = self._timers.now()
         self._owned[run.id] = run
         self._ended_at.pop(run.id, None)
--- a/tests/requests/test_link.py
+++ b/tests/requests/test_link.py
@@ -96,6 +96,23 @@
     assert (run.released, run.is_recorded) == (0, False)
 
 
+async def test_second_forgets_what_was_given_up(autojump_clock, nursery):
+    second = Second()
+    link = make_link(second)
+    nursery.start_soon(link.run)
+    run, again = make_run(), make_run()
+    link.add(run)
+    await trio.sleep(0.1)
+    assert not link.forget(again)
+    assert link.forget(run)
+    await trio.sleep(0.1)
+    link.add(again)
+    assert not link.remove(run)
+    await trio.sleep(0.1)
+    assert [list(batch.forgotten) for batch in second.batches] == [[], ["a.0"], []]
+    assert again.is_recorded
+
+
 async def test_nothing_is_released_before_earlier_links_are_dropped(autojump_clock):
     run = make_run()
     prior = journal_pb2.Link(owner="a", second="b")
