Every fault at every step of a host's start and of a load

The fleet starts two hosts beside the engines that are there and orders the model loaded, while all other workloads run. Each cell ends with no start or order lost, doubled or open, fencing numbers in order at each engine, and the seven promises.

--- a/tests/faults/faults.py
+++ b/tests/faults/faults.py
@@ -267,6 +267,44 @@
     scene.cloud.delay = 0.01
 
 
+@_fault
+def _cloud_loses_replies(scene, caller):
+    scene.cloud.lost_replies = 3
+    yield _BACK_SECONDS
+    scene.cloud.lost_replies = 0
+
+
+@_fault
+def _starts_are_refused(scene, caller):
+    scene.cloud.refused = {"sapporo-hall", "asahikawa-hall", "hakodate-hall"}
+    yield _BACK_SECONDS
+    scene.cloud.refused = set()
+
+
+@_fault
+def _weight_store_is_down(scene, caller):
+    scene.weights.is_down = True
+    yield _BACK_SECONDS
+    scene.weights.is_down = False
+
+
+@_fault
+def _weight_store_is_wrong(scene, caller):
+    """It tells of sizes that would take years to load."""
+    sizes = dict(scene.weights.sizes)
+    scene.weights.sizes = dict.fromkeys(sizes, 10**18)
+    yield _BACK_SECONDS
+    scene.weights.sizes = sizes
+
+
+@_fault
+def _started_hosts_are_reclaimed(scene, caller):
+    for host in scene.cloud.living:
+        if host.token != host.id:
+            scene.cloud.reclaim(1.0, host_id=host.id)
+    yield 1.0
+
+
 @_fault
 def _operators_race(scene, caller):
     """Their changes carry the same number."""
--- a/tests/faults/scene.py
+++ b/tests/faults/scene.py
@@ -4,7 +4,7 @@
 import random
 import tomllib
 from collections import Counter
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 
@@ -12,10 +12,16 @@
 
 from pepperstep.configuration import BASE as BASE_DOCUMENT
 from pepperstep.entities import ModelKey, Request
-from pepperstep.fakes import FakeCloud, FakeEngine, FakeService, FakeUpstreams
+from pepperstep.fakes import (
+    FakeCloud,
+    FakeEngine,
+    FakeService,
+    FakeUpstreams,
+    FakeWeightStore,
+)
 from pepperstep.fakes.hosts import FakeHosts, HostPlace
 from pepperstep.fakes.steps import Step, StepKind
-from pepperstep.ports import CloudHost, HostState, PriceClass, TokenChunk
+from pepperstep.ports import CloudHost, HostState, Offer, PriceClass, TokenChunk
 from tests.faults.callers import ChangeCaller, RequestCaller
 
 ZONES = ("sapporo-hall", "asahikawa-hall", "hakodate-hall")
@@ -82,6 +88,13 @@
     has_gaps = False
     # Whether a crashing request has ended it.
     has_crashed = False
+    # Fencing numbers of the orders that it took, in their order.
+    fences: tuple[int, ...] = ()
+
+    def take_order(self, order) -> None:
+        """Carry an order out."""
+        super().take_order(order)
+        self.fences += (order.fence,)
 
     async def open(self, order):
         """Take an attempt in."""
@@ -118,6 +131,7 @@
     def __init__(self, hosts: FakeHosts, cloud: FakeCloud, nursery: trio.Nursery):
         self.hosts = hosts
         self.cloud = cloud
+        self.weights: FakeWeightStore | None = None
         self.upstreams = hosts.upstreams
         self.network = hosts.network
         self.nursery = nursery
@@ -148,15 +162,22 @@
 
     @classmethod
     @asynccontextmanager
-    async def start(cls, **options) -> AsyncIterator["Scene"]:
+    async def start(
+        cls,
+        offers: Iterable[Offer] = (),
+        weights: FakeWeightStore | None = None,
+        replicas: int = 1,
+    ) -> AsyncIterator["Scene"]:
         """Start hosts and let the upstreams announce themselves."""
-        upstreams = FakeUpstreams(list(map(_engine, range(6))))
+        upstreams = FakeUpstreams(list(map(make_engine, range(6))))
         for number, zone in enumerate(ZONES[:2]):
             service = Service(f"quote-{number}", "quote-api", zone, 0.3)
             service.upstream = replace(service.upstream, region="dosanko")
             upstreams.add(service)
-        cloud = FakeCloud([], **options)
-        async with FakeHosts.start(_places(), upstreams, BASE, cloud=cloud) as hosts:
+        cloud = FakeCloud(list(offers), start_seconds=1.0)
+        async with FakeHosts.start(
+            _places(), upstreams, _base(replicas), cloud=cloud, weights=weights
+        ) as hosts:
             for each in upstreams.all.values():
                 cloud.add_host(_rented(each.upstream))
             await trio.sleep(_SETTLE_SECONDS)
@@ -294,6 +315,11 @@
     return [*batch.records, *batch.checkpoints]
 
 
+def _base(replicas: int) -> dict:
+    deployment = BASE["deployments"]["zaseki-model"] | {"min_replicas": replicas}
+    return BASE | {"deployments": {"zaseki-model": deployment}}
+
+
 def _places() -> list[HostPlace]:
     return [
         HostPlace(f"entry-{n}", ZONES[n % 3], "dosanko", "kitahara", n < 3)
@@ -301,7 +327,7 @@
     ]
 
 
-def _engine(number: int) -> Engine:
+def make_engine(number: int) -> Engine:
     return Engine(
         f"engine-{number}",
         ZONES[number % 3],
