Tests run on all cores

Cause: the whole suite is about 13 minutes of processor time. Changed: pytest-xdist; virtual time and fixed seeds keep the verdict independent of the order.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(PYTHON) -m demo
 
 test: $(STAMP)
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n auto
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff check .
--- a/measure/main.py
+++ b/measure/main.py
@@ -14,6 +14,12 @@
     return policies.main
 
 
+def _log() -> Callable:
+    from measure import log
+
+    return log.main
+
+
 def _relay() -> Callable:
     from measure import relay
 
@@ -31,7 +37,12 @@
 
 
 # Each imports its module only when it's asked for, as flags are global.
-_COMMANDS = {"policies": _policies, "relay": _relay, "routing": _routing}
+_COMMANDS = {
+    "log": _log,
+    "policies": _policies,
+    "relay": _relay,
+    "routing": _routing,
+}
 
 
 def main() -> None:
--- a/measure/policies.py
+++ b/measure/policies.py
@@ -3,10 +3,8 @@
 Each run has the same seeded load and faults, so that figures repeat.
 """
 
-import datetime
 import json
 import multiprocessing
-import subprocess
 import sys
 import time
 from concurrent.futures import ProcessPoolExecutor
@@ -17,7 +15,7 @@
 
 from measure.fleet_day import DayResult, day_cases, run_day
 from measure.plots import draw
-from measure.report import print_tables, write_page
+from measure.report import describe_run, print_tables, write_page
 from measure.results import Result
 from measure.scenarios import SCENARIOS
 from measure.targets import judge
@@ -91,11 +89,8 @@
 
 def _write(folder: Path, results: dict, judgements: list, seconds: float) -> None:
     folder.mkdir(parents=True, exist_ok=True)
-    about = {
-        "command": "pepperstep-measure policies " + " ".join(sys.argv[1:]),
+    about = describe_run() | {
         "seed": _SEED.value,
-        "commit": _commit(),
-        "date": datetime.date.today().isoformat(),
         "seconds": round(seconds),
         "is_repeated": _REPEATS.value,
     }
@@ -107,8 +102,3 @@
     (folder / "policies.json").write_text(json.dumps(document, indent=1) + "\n")
     plots = draw(results, folder)
     write_page(folder, about, results, judgements, plots)
-
-
-def _commit() -> str:
-    command = ["git", "describe", "--always", "--dirty"]
-    return subprocess.run(command, capture_output=True, text=True).stdout.strip()
--- a/measure/report.py
+++ b/measure/report.py
@@ -1,5 +1,8 @@
 """Tables of the figures, for the terminal and for the page."""
 
+import datetime
+import subprocess
+import sys
 from collections.abc import Iterable, Mapping
 from pathlib import Path
 from typing import TextIO
@@ -9,7 +12,16 @@
 from measure.scenarios import SCENARIOS
 from measure.targets import Judgement
 
-__all__ = ["PAGE", "Table", "print_tables", "replace_section", "write_page"]
+__all__ = [
+    "PAGE",
+    "Table",
+    "describe_run",
+    "print_table",
+    "print_tables",
+    "replace_section",
+    "to_markdown",
+    "write_page",
+]
 
 PAGE = "README.md"
 _TITLE = "# Measurements\n"
@@ -50,9 +62,9 @@
     for name, policies in results.items():
         print(f"\n{name}: {_about(name)}", file=out)
         for table in _tables(name, policies):
-            _print(table, out)
+            print_table(table, out)
     print("\ntargets", file=out)
-    _print(_judgement_table(judgements), out)
+    print_table(_judgement_table(judgements), out)
 
 
 def write_page(
@@ -73,12 +85,12 @@
             else "run once."
         ),
         "",
-        *_markdown(_judgement_table(judgements)),
+        *to_markdown(_judgement_table(judgements)),
     ]
     for name, policies in results.items():
         lines += ["", f"### {name}", "", _about(name)]
         for table in _tables(name, policies):
-            lines += ["", *_markdown(table)]
+            lines += ["", *to_markdown(table)]
     lines += [""] + [f"![{plot}]({plot})" for plot in plots]
     replace_section(folder / PAGE, "Policies", lines)
 
@@ -93,6 +105,32 @@
     page.write_text(head.rstrip() + "\n" + "".join(parts))
 
 
+def print_table(table: Table, out: TextIO) -> None:
+    """Write a table as text."""
+    widths = [max(map(len, column)) for column in zip(*table, strict=True)]
+    for line in table:
+        cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        print("  " + "  ".join(cells).rstrip(), file=out)
+
+
+def to_markdown(table: Table) -> list[str]:
+    """Return a table's lines for a page."""
+    head, *lines = table
+    rule = ["---"] * len(head)
+    return [f"| {' | '.join(line)} |" for line in (head, rule, *lines)]
+
+
+def describe_run() -> dict[str, str]:
+    """Return what a page tells of a run: command, commit and date."""
+    git = ["git", "describe", "--always", "--dirty"]
+    commit = subprocess.run(git, capture_output=True, text=True)
+    return {
+        "command": " ".join(["pepperstep-measure", *sys.argv[1:]]),
+        "commit": commit.stdout.strip(),
+        "date": datetime.date.today().isoformat(),
+    }
+
+
 def _about(name: str) -> str:
     if name in SCENARIOS:
         return SCENARIOS[name].about
@@ -173,16 +211,3 @@
 
 def _codes(codes: Mapping[str, int]) -> str:
     return " ".join(f"{code} {count}" for code, count in codes.items()) or "0"
-
-
-def _print(table: Table, out: TextIO) -> None:
-    widths = [max(map(len, column)) for column in zip(*table, strict=True)]
-    for line in table:
-        cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
-        print("  " + "  ".join(cells).rstrip(), file=out)
-
-
-def _markdown(table: Table) -> list[str]:
-    head, *lines = table
-    rule = ["---"] * len(head)
-    return [f"| {' | '.join(line)} |" for line in (head, rule, *lines)]
