Announcements name the entry hosts that route to the upstream

Cause: the answer named all near hosts, while the registry knows which of them route to the upstream; the test's fake had fallen behind the lease's fields. Checked: tests of announcements and fuzzing pass. Conclusion: one source for the list.

--- a/src/pepperstep/adapters/http_api/announcements.py
+++ b/src/pepperstep/adapters/http_api/announcements.py
@@ -105,12 +105,12 @@
     token: str
 
     @classmethod
-    def from_lease(cls, lease: Lease, entry_hosts: list[str]) -> "AnnouncementAnswer":
+    def from_lease(cls, lease: Lease) -> "AnnouncementAnswer":
         """Return the answer for a lease."""
         return cls(
             lease.seconds,
             lease.heartbeat_period,
-            entry_hosts,
+            list(lease.entry_hosts),
             lease.is_renewed,
             lease.token,
         )
--- a/src/pepperstep/adapters/http_api/app.py
+++ b/src/pepperstep/adapters/http_api/app.py
@@ -123,8 +123,7 @@
             announcement.token,
             announcement.held_seconds,
         )
-        urls = [host.caller_url for host in entry_hosts_near(self._node)]
-        return json_reply(AnnouncementAnswer.from_lease(lease, urls))
+        return json_reply(AnnouncementAnswer.from_lease(lease))
 
     async def _answer_health(self, call: Call) -> Reply:
         return json_reply({"status": "ok"})
--- a/src/pepperstep/adapters/peer_streams.py
+++ b/src/pepperstep/adapters/peer_streams.py
@@ -12,6 +12,7 @@
 
 import grpc
 import trio
+from google.protobuf.message import DecodeError
 
 from pepperstep.errors import Code, Failure
 from pepperstep.proto.envelope_pb2 import Frame, Frames
@@ -110,6 +111,9 @@
                 self._run_in_loop(self._take, Frames.FromString(data).frames)
         except grpc.RpcError as error:
             reason = error.code().name
+        except DecodeError:
+            reason = "its answers can't be decoded"
+            self._call.cancel()
         self._frames.close()
         self._run_in_loop(self._break, reason)
 
--- a/tests/api/fake_node.py
+++ b/tests/api/fake_node.py
@@ -224,7 +224,13 @@
 
     def _announce(self, upstream: Any, sequence: int, token: str, held: float) -> Lease:
         self.announced.append((upstream, sequence, token, held))
-        return Lease(3.0, 1.0, True, "token-2")
+        return Lease(
+            seconds=3.0,
+            heartbeat_period=1.0,
+            is_renewed=True,
+            entry_hosts=("http://entry-0", "http://entry-1"),
+            token="token-2",
+        )
 
 
 @dataclass
