Matrix: an engine that stays while it leaves, worse answers, drained hosts return

An engine says that it leaves and stays, and short requests at all hosts show who still chooses it 3 s later; before, all requests had been placed by then and the promise was hardly tested. Crossed answers carry another's tokens, and an engine may end an answer early with a right count. A drained host starts again, as in a rolling restart. Cells whose step makes no difference to the fault are left out with the reason.

--- a/src/pepperstep/fakes/hosts.py
+++ b/src/pepperstep/fakes/hosts.py
@@ -145,13 +145,16 @@
                 disk.lose()
 
     async def drain(self, name: str) -> None:
-        """Let a host leave, then end its life."""
-        node = self.hosts[name].node
-        node.start_drain()
-        await node.drain()
-        while self.calling[name]:
-            await trio.sleep(_DRAIN_POLL_SECONDS)
-        await node.depart()
+        """Let a host leave, then end its life, unless that ends before."""
+        host = self.hosts[name]
+        host.node.start_drain()
+        try:
+            await self.call(name, lambda node: node.drain())
+            while self.calling[name] and self.hosts.get(name) is host:
+                await trio.sleep(_DRAIN_POLL_SECONDS)
+            await self.call(name, lambda node: node.depart())
+        except HostLost:
+            return
         self.crash(name)
 
     def pause(self, name: str) -> None:
--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -41,11 +41,19 @@
 class RequestCaller:
     """Caller of one request, which it repeats with its key until it's answered."""
 
-    def __init__(self, scene, name: str, home: str, prompt: str = ""):
+    def __init__(
+        self,
+        scene,
+        name: str,
+        home: str,
+        prompt: str = "",
+        max_tokens: int = _TOKENS,
+    ):
         self.scene = scene
         self.name = name
         self.home = home
         self.prompt = prompt or f"Seat the guests of {name}."
+        self.max_tokens = max_tokens
         self.request: Request | None = None
         self.ids: set[str] = set()
         self.accepted: list[str] = []
@@ -61,6 +69,7 @@
         self._hosts = list(scene.hosts.places)
         self._hosts.remove(home)
         self._hosts.insert(0, home)
+        self._last_id = ""
         self._is_repeatable = not name.startswith("service")
         self._is_accepted = trio.Event()
 
@@ -128,6 +137,9 @@
         self.refusals.append(Refusal(self._last_id, outcome.code, outcome.execution))
 
     async def _submit(self, node) -> str:
+        if not node.configuration.revision:
+            # As the callers' border answers.
+            raise Failure(Code.NOT_READY, "No configuration.", retry_after=1.0)
         request = self._new_request()
         self._last_id = request.id
         submitted = await node.requests.submit(request)
@@ -148,7 +160,12 @@
         number = 1000 * (1 + self.scene.callers.index(self)) + len(self.ids)
         host = self._hosts[0]
         request = self.scene.hosts.request(
-            host, number, seed=7, max_tokens=_TOKENS, fingerprint=self.name, **changes
+            host,
+            number,
+            seed=7,
+            max_tokens=self.max_tokens,
+            fingerprint=self.name,
+            **changes,
         )
         self.request = request
         self.ids.add(request.id)
--- a/tests/faults/faults.py
+++ b/tests/faults/faults.py
@@ -17,7 +17,8 @@
 _LONG_CUT_SECONDS = 60.0
 _PAUSE_SECONDS = 4.0
 _NETWORK_SECONDS = 3.0
-_NOTICE_SECONDS = 3.0
+# Less than what a stream needs from its middle on.
+_NOTICE_SECONDS = 1.4
 _BACK_SECONDS = 3.0
 
 
@@ -253,6 +254,11 @@
     yield from _spoil(scene, "has_gaps", True, False)
 
 
+@_fault
+def _answers_end_early(scene, caller):
+    yield from _spoil(scene, "ends_early", True, False)
+
+
 @_fault
 def _cloud_is_down(scene, caller):
     scene.cloud.is_down = True
--- a/tests/faults/promises.py
+++ b/tests/faults/promises.py
@@ -32,7 +32,7 @@
     for caller in scene.callers:
         if caller.outcome is None:
             findings.append(f"(a) {caller.name}: no outcome in time.")
-        elif caller is scene.stream and not caller.outcome.is_answered:
+        elif _is_promised(caller, scene) and not caller.outcome.is_answered:
             findings.append(f"(a) {caller.name}: {caller.outcome}.")
     beside = scene.stream.outcome_beside
     if scene.stream.outcome and (beside is None or not beside.is_answered):
@@ -40,18 +40,24 @@
     return findings
 
 
+def _is_promised(caller, scene: Scene) -> bool:
+    """Whether an answer is due: a claim may end in doubt, a crash in a refusal."""
+    return caller is not scene.service and caller.prompt != POISON
+
+
 def _check_own_answers(scene: Scene) -> list[str]:
     """(b) Whole answers have all tokens, each the request's own."""
     findings = []
     stream = scene.stream
-    for tokens, outcome in (
-        (stream.tokens, stream.outcome),
-        (stream.tokens_beside, stream.outcome_beside),
-    ):
+    answers = [
+        (c, c.tokens, c.outcome) for c in scene.callers if c is not scene.service
+    ]
+    answers.append((stream, stream.tokens_beside, stream.outcome_beside))
+    for caller, tokens, outcome in answers:
         if outcome is None or not outcome.is_answered:
             continue
-        if tokens != answer_of(stream.request) or outcome.finish != "length":
-            findings.append(f"(b) {len(tokens)} tokens and {outcome}.")
+        if tokens != answer_of(caller.request) or outcome.finish != "length":
+            findings.append(f"(b) {caller.name}: {len(tokens)} tokens, {outcome}.")
     outcome = scene.service.outcome
     body = b"done " + scene.service.name.encode()
     answer = ServiceAnswer(200, "application/json", body)
@@ -122,7 +128,7 @@
         if not change.is_accepted:
             findings += _check_loser(change, accepted)
     for name, host in scene.hosts.hosts.items():
-        if host.node.reasons_not_ready() and name not in scene.drained:
+        if host.node.reasons_not_ready():
             findings.append(f"(g) {name}: {host.node.reasons_not_ready()}.")
         value = host.node.configuration.limits.max_queue
         if accepted and value != accepted[0].value:
--- a/tests/faults/scene.py
+++ b/tests/faults/scene.py
@@ -21,7 +21,14 @@
 )
 from pepperstep.fakes.hosts import FakeHosts, HostPlace
 from pepperstep.fakes.steps import Step, StepKind
-from pepperstep.ports import CloudHost, HostState, Offer, PriceClass, TokenChunk
+from pepperstep.ports import (
+    CloudHost,
+    EndMark,
+    HostState,
+    Offer,
+    PriceClass,
+    TokenChunk,
+)
 from tests.faults.callers import ChangeCaller, RequestCaller
 
 ZONES = ("sapporo-hall", "asahikawa-hall", "hakodate-hall")
@@ -43,10 +50,16 @@
     "services": {"quote-api": {"workspaces": ["planners"]}},
 }
 
-_SETTLE_SECONDS = 1.0
+_SETTLE_SECONDS = 0.6
 _RECLAIM_AFTER = 0.8
 _NOTICE_SECONDS = 2.0
 _IN_FORCE_SECONDS = 2.0
+# This engine says that it leaves, and stays; short requests show who hears it.
+_LEAVER = "engine-5"
+_LEAVE_AFTER = 0.05
+_STAY_SECONDS = 1000.0
+# From the third on all hosts know of it.
+_SHORT_AT = (0.0, 0.6, 3.1, 3.2, 3.3, 3.4)
 # A cell whose callers have no answer by then has failed.
 _LONGEST_SECONDS = 90.0
 
@@ -83,9 +96,11 @@
 
 
 class Engine(FakeEngine):
-    """Engine that may leave a token out."""
+    """Engine with more faults in its answers."""
 
+    # It leaves tokens out, or says too early that all were sent.
     has_gaps = False
+    ends_early = False
     # Whether a crashing request has ended it.
     has_crashed = False
     # Fencing numbers of the orders that it took, in their order.
@@ -103,16 +118,28 @@
         return attempt
 
     async def stream(self, attempt) -> AsyncIterator:
-        """Yield the attempt's chunks."""
+        """Yield the attempt's chunks, or what is wrong with them."""
         chunks = super().stream(attempt)
         try:
             async for chunk in chunks:
-                is_chunk = isinstance(chunk, TokenChunk)
-                if not (self.has_gaps and is_chunk and chunk.position % 20 == 9):
-                    yield chunk
+                for wrong in self._spoil(attempt.order, chunk):
+                    yield wrong
+                    if isinstance(wrong, EndMark):
+                        return
         finally:
             await chunks.aclose()
 
+    def _spoil(self, order, chunk) -> list:
+        if not isinstance(chunk, TokenChunk):
+            return [chunk]
+        if self.is_crossed:
+            return [replace(chunk, tokens=("another's ",))]
+        if self.has_gaps and chunk.position % 20 == 9:
+            return []
+        if self.ends_early and chunk.position % 10 == 9:
+            return [EndMark(order.attempt_id, order.max_tokens, "length")]
+        return [chunk]
+
 
 @dataclass(frozen=True)
 class Opened:
@@ -189,13 +216,14 @@
         """Run all workloads to their end, and wait until all is in force."""
         with trio.move_on_after(_LONGEST_SECONDS):
             async with trio.open_nursery() as nursery:
-                for caller in self.callers:
+                for caller in list(self.callers):
                     nursery.start_soon(caller.run)
                 nursery.start_soon(self.stream.read_beside, "entry-1")
                 for change in self.changes:
                     nursery.start_soon(change.run)
                 if self.is_reclaiming:
                     nursery.start_soon(self._reclaim_later)
+                nursery.start_soon(self._send_short)
             while self.open_faults or self._is_settling():
                 await trio.sleep(0.1)
 
@@ -253,9 +281,12 @@
         self.nursery.start_soon(self._restart, name, restart_after)
 
     def drain(self, name: str) -> None:
-        """Let a host leave."""
+        """Let a host leave, and start it again."""
+        if name not in self.hosts.hosts:
+            return
         self.drained.add(name)
-        self.nursery.start_soon(self.hosts.drain, name)
+        self.open_faults += 1
+        self.nursery.start_soon(self._drain, name)
 
     def is_reached(self, name: str) -> bool:
         """Whether a host runs, is ready and isn't cut off."""
@@ -276,6 +307,12 @@
             for other in self.hosts.places
         )
 
+    async def _drain(self, name: str) -> None:
+        await self.hosts.drain(name)
+        await self._restart(name, 0.5)
+        self.mended_at = max(self.mended_at, trio.current_time())
+        self.open_faults -= 1
+
     async def _restart(self, name: str, seconds: float) -> None:
         await trio.sleep(seconds)
         if name not in self.hosts.hosts:
@@ -285,6 +322,19 @@
         await trio.sleep(_RECLAIM_AFTER)
         self.reclaim(_NOTICE_SECONDS, name=self.upstream(self.stream).upstream.name)
 
+    async def _send_short(self) -> None:
+        """Send short requests at all hosts in turn, while an engine leaves."""
+        began_at = trio.current_time()
+        self.later(_LEAVE_AFTER, lambda: self.reclaim(_STAY_SECONDS, name=_LEAVER))
+        async with trio.open_nursery() as nursery:
+            for number, seconds in enumerate(_SHORT_AT):
+                await trio.sleep_until(began_at + seconds)
+                home = f"entry-{number % len(self.hosts.places)}"
+                prompt = f"Move table {number}."
+                caller = RequestCaller(self, f"short-{number}", home, prompt, 2)
+                self.callers.append(caller)
+                nursery.start_soon(caller.run)
+
     def _watch(self, step: Step) -> None:
         if step.kind is StepKind.OPEN:
             self._note_opened(step)
--- a/tests/faults/test_pairs.py
+++ b/tests/faults/test_pairs.py
@@ -12,7 +12,13 @@
 from tests.faults.steps import REQUEST_STEPS, strike_at
 
 _EXAMPLES = 30
-_NEEDS_WEIGHTS = ("weight_store_is_down", "weight_store_is_wrong")
+_OF_ORDERS = (
+    "cloud_loses_replies",
+    "starts_are_refused",
+    "weight_store_is_down",
+    "weight_store_is_wrong",
+    "started_hosts_are_reclaimed",
+)
 # A minute of virtual time each, and covered at the steps of a change.
 _LONG = ("leader_is_cut_off_for_long",)
 
@@ -20,7 +26,7 @@
 def find_reason(first: str, second: str) -> str:
     """Return why a pair isn't drawn, "" if it is."""
     pair = {first, second}
-    if pair & {*_NEEDS_WEIGHTS, *_LONG}:
+    if pair & {*_OF_ORDERS, *_LONG}:
         return "It's a fault of other cells."
     if pair == {"owner_is_killed", "second_is_killed"}:
         return "A request's two copies are lost; only its announced loss is promised."
--- a/tests/faults/test_requests.py
+++ b/tests/faults/test_requests.py
@@ -22,6 +22,7 @@
     "answers_are_doubled",
     "answers_are_cut",
     "answers_have_gaps",
+    "answers_end_early",
 )
 _OF_CHANGES = (
     "operators_race",
@@ -31,22 +32,34 @@
     "leader_hears_nothing",
     "another_disk_is_lost_after_repair",
 )
+_OF_ORDERS = (
+    "cloud_loses_replies",
+    "starts_are_refused",
+    "weight_store_is_down",
+    "weight_store_is_wrong",
+    "started_hosts_are_reclaimed",
+)
 _OF_CLOUD = ("cloud_is_down", "cloud_is_slow")
 _LATE_STEPS = ("last_token", "answered")
+_STREAMING = ("dispatched", "first_token", "last_token")
 
 
 def find_reason(name: str, step: str, fault: str) -> str:
     """Return why a cell makes no sense, "" if it does."""
     if fault in _OF_CHANGES:
         return "At the steps of changes, in test_changes.py."
+    if fault in _OF_ORDERS:
+        return "At the steps of starts and orders, in test_orders.py."
     if name == "service" and fault in _OF_ENGINES:
         return "No engine takes part in a service's call."
     if name == "service" and fault in _OF_CLOUD:
         return "A call can't move, so that nothing of it hangs on the cloud."
     if step in _LATE_STEPS and fault in _OF_ENGINES[1:]:
         return "The engine has done its part."
-    if step == "dispatched" and fault in _OF_CLOUD:
-        return "The same moment as the first token's for the cloud."
+    if fault in _OF_CLOUD and step != "in_mid_stream":
+        return "The cloud's part is the workload's reclaim, which comes then."
+    if step in _STREAMING and fault.startswith(("leader", "messages")):
+        return "For the log and the network the same as in mid-stream."
     return ""
 
 
