--- a/tests/requests/test_takeover.py
+++ b/tests/requests/test_takeover.py
@@ -5,6 +5,7 @@
 
 from pepperstep.errors import Code, Execution, Failure
 from pepperstep.fakes import answer_of
+from pepperstep.requests import Run
 from tests.requests.entry_hosts import Hosts
 
 OWNER = "entry-0"
@@ -236,3 +237,16 @@
         for request in requests:
             tokens, _ = await hosts.read(OWNER, request.id)
             assert tokens == answer_of(request)
+
+
+async def test_request_that_comes_back_ends_its_earlier_run(autojump_clock):
+    async with Hosts.start() as hosts:
+        service = hosts.all[OWNER].service
+        request = hosts.request()
+        earlier = await service.submit(request)
+        await hosts.read(OWNER, request.id, limit=10)
+        link = service._journal._link_of[request.id].message
+        service._own(link, [Run.from_record(earlier.to_record())])
+        assert earlier.is_lost
+        tokens, _ = await hosts.read(OWNER, request.id)
+    assert tokens == answer_of(request)
