--- a/src/pepperstep/requests/service.py
+++ b/src/pepperstep/requests/service.py
@@ -245,7 +245,7 @@
         if earlier is not None:
             # The request comes back to this host by another owner.
             self._journal.remove(earlier)
-            pass
+            earlier.lose()
         run.reader_left_at = self._timers.now()
         self._owned[run.id] = run
         self._ended_at.pop(run.id, None)
