Fuzz peer messages and the log's machines, and mend what it found

Each fault below was red first and has a test of its own:

- A wait whose deadline had just passed raised ValueError: on the real clock a proposal that timed out at a leader without a quorum ended its task so, in place of NO_QUORUM.
Virtual time wakes exactly at the deadline, so no test saw it.
Timers take times that are over as none.
- A command of the links that can't be decoded, which any host could propose, would have ended all control hosts at each start.
- A member's life or refutation at the end of its range ended the host that counted on; unknown states, kinds and roles raised ValueError.
- A proposal or barrier with NaN or a negative timeout raised ValueError; an endless one waited for ever.
- A release of an upstream that nobody holds raised KeyError.

Ruled out: the machines of claims, configuration and fleet, the envelope's codec, and frames that can't be decoded at the server had no fault.

--- a/src/pepperstep/adapters/timers.py
+++ b/src/pepperstep/adapters/timers.py
@@ -39,5 +39,5 @@
             due = max(due, self.now() - period)
 
     def move_on_after(self, seconds: float) -> trio.CancelScope:
-        """Return a scope that cancels its block after `seconds`."""
-        return trio.move_on_after(seconds)
+        """Return a scope that cancels its block after `seconds`, at once below 0."""
+        return trio.move_on_after(max(0.0, seconds))
--- a/src/pepperstep/consensus/node.py
+++ b/src/pepperstep/consensus/node.py
@@ -22,6 +22,9 @@
 
 __all__ = ["Consensus"]
 
+# Longest time that another host may ask to be waited for.
+_MAX_WAIT_SECONDS = 60.0
+
 
 class Consensus:
     """Replicated log on one control host; see `from_config`."""
@@ -288,7 +291,7 @@
         if leadership is not None and leadership.is_active:
             reply.is_leader = True
             reply.results.extend(
-                await self._propose_all(list(request.proposals), request.timeout)
+                await self._propose_all(list(request.proposals), _wait_of(request))
             )
         reply.leader = self.leader
         reply.term = self._replica.term
@@ -302,7 +305,7 @@
         reply = pb.LogBarrierReply()
         leadership = self._leadership
         if leadership is not None and leadership.is_active:
-            with self._timers.move_on_after(request.timeout):
+            with self._timers.move_on_after(_wait_of(request)):
                 reply.index = await leadership.read_index()
             reply.is_leader = True
         reply.leader = self.leader
@@ -326,6 +329,11 @@
             raise Failure(Code.UNKNOWN_NAME, f"No log {group} on this host.")
 
 
+def _wait_of(request: pb.LogProposeRequest | pb.LogBarrierRequest) -> float:
+    """Return the seconds that a request may wait; none for what is no time."""
+    return min(request.timeout, _MAX_WAIT_SECONDS) if request.timeout > 0 else 0.0
+
+
 def _result_of(
     item: Pending | pb.LogProposeReply.Result,
 ) -> pb.LogProposeReply.Result:
--- a/src/pepperstep/membership/spread.py
+++ b/src/pepperstep/membership/spread.py
@@ -230,7 +230,11 @@
         wanted: list[str] = []
         for message in messages:
             known = self._table.records.get(message.name)
-            record = from_message(message, known, sent_at)
+            try:
+                record = from_message(message, known, sent_at)
+            except ValueError:
+                # A kind or role of a later release, of no use to this host.
+                continue
             if record is not None:
                 self._table.merge(record)
             elif known is None or known.epoch <= message.epoch:
--- a/src/pepperstep/membership/updates.py
+++ b/src/pepperstep/membership/updates.py
@@ -15,6 +15,10 @@
 
 # Sends of an update, for each doubling of the number of hosts.
 _SENDS_PER_DOUBLING = 2
+# What is beyond these is damaged; counting on would leave the message's range.
+_MAX_LIFE = 2**53
+_MAX_REFUTATION = 2**31
+_STATES = frozenset(MemberState)
 # Tag and length that protobuf puts before an update.
 _FRAME_BYTES = 4
 
@@ -39,7 +43,13 @@
 
 
 def from_update(update: pb.MemberUpdate, known: Member | None) -> Member | None:
-    """Return the member, None if its host's settings are neither here nor there."""
+    """Return the member.
+
+    Return None if its host's settings are neither here nor there, or if its
+    state or numbers make no sense.
+    """
+    if not _is_sound(update):
+        return None
     if update.HasField("host"):
         host = Host(
             name=update.name,
@@ -59,6 +69,11 @@
     return Member(host, update.life, update.refutation, state)
 
 
+def _is_sound(update: pb.MemberUpdate) -> bool:
+    is_in_range = update.life < _MAX_LIFE and update.refutation < _MAX_REFUTATION
+    return is_in_range and update.state in _STATES
+
+
 def fit_updates(
     members: Iterable[Member], max_bytes: int, has_host: bool = False
 ) -> tuple[list[pb.MemberUpdate], list[Member]]:
--- a/src/pepperstep/ports/timers.py
+++ b/src/pepperstep/ports/timers.py
@@ -27,4 +27,4 @@
         """
 
     def move_on_after(self, seconds: float) -> trio.CancelScope:
-        """Return a scope that cancels its block after `seconds`."""
+        """Return a scope that cancels its block after `seconds`, at once below 0."""
--- a/src/pepperstep/requests/links.py
+++ b/src/pepperstep/requests/links.py
@@ -7,7 +7,9 @@
 from collections import OrderedDict
 
 import xxhash
+from google.protobuf.message import DecodeError
 
+from pepperstep.errors import Code, Failure
 from pepperstep.ports import Agreement
 from pepperstep.proto import journal_pb2
 
@@ -62,7 +64,10 @@
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Grant the command unless the other way was granted before."""
-        message = journal_pb2.LinkCommand.FromString(command)
+        try:
+            message = journal_pb2.LinkCommand.FromString(command)
+        except DecodeError:
+            return journal_pb2.LinkDecision().SerializeToString()
         key = link_key(message.link)
         is_taken = self._taken.setdefault(key, message.is_takeover)
         if len(self._taken) > _MAX_DECISIONS:
@@ -79,8 +84,12 @@
         return journal_pb2.LinkSnapshot(decided=states).SerializeToString()
 
     def restore(self, data: bytes) -> None:
-        """Take the decisions of a snapshot."""
-        states = journal_pb2.LinkSnapshot.FromString(data).decided
+        """Take the decisions of a snapshot; raise `Failure` if it can't be read."""
+        try:
+            states = journal_pb2.LinkSnapshot.FromString(data).decided
+        except DecodeError as error:
+            text = "The links' snapshot can't be read."
+            raise Failure(Code.CORRUPT_STORAGE, text) from error
         self._taken = OrderedDict(
             (link_key(state.link), state.is_taken) for state in states
         )
--- a/src/pepperstep/requests/suspects.py
+++ b/src/pepperstep/requests/suspects.py
@@ -179,7 +179,7 @@
         is_free = until <= now or holder == message.request_id
         if message.is_release:
             if holder == message.request_id:
-                del self._holds[message.upstream]
+                self._holds.pop(message.upstream, None)
             return False
         if is_free:
             self._holds[message.upstream] = (message.request_id, now + _HOLD_SECONDS)
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Any bytes and any values at each border."""
--- /dev/null
+++ b/tests/fuzz/test_peer_messages.py
@@ -0,0 +1,202 @@
+"""Whatever a peer sends, a host answers with a type and goes on serving."""
+
+import math
+from contextlib import suppress
+
+import grpc
+import pytest
+import trio
+from google.protobuf.message import Message
+from hypothesis import HealthCheck, Phase, given, settings, strategies as st
+from trio.testing import MockClock
+
+from demo.launcher import free_ports
+from pepperstep.adapters.grpc_peers import GrpcPeers
+from pepperstep.adapters.peer_streams import PeerStream
+from pepperstep.errors import Code, Failure
+from pepperstep.fakes import answer_of
+from pepperstep.fakes.hosts import FakeHosts
+from pepperstep.proto import (
+    codec,
+    consensus_pb2,
+    journal_pb2,
+    membership_pb2,
+    verdicts_pb2,
+)
+from pepperstep.proto.envelope_pb2 import Envelope
+from tests.fuzz.messages import cut_or_flipped, messages_of
+from tests.whole.test_whole_hosts import start_hosts
+
+# Shrinking starts whole hosts over and over; the message is printed as it is.
+FUZZ = settings(
+    max_examples=3,
+    derandomize=True,
+    deadline=None,
+    phases=[Phase.explicit, Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+BYTES = settings(max_examples=300, derandomize=True, deadline=None)
+SENDERS = st.sampled_from(["entry-0", "entry-1", "entry-2", "stranger", ""])
+# No handler may take longer, in virtual seconds.
+HANG_SECONDS = 60.0
+MAX_NUMBER = 2**64 - 1
+
+
+def run(function) -> None:
+    trio.run(function, clock=MockClock(autojump_threshold=0))
+
+
+async def send(hosts: FakeHosts, message: Message, sender: str) -> None:
+    """Hand a message to each host, which must answer it."""
+    data = codec.encode(message, sender)
+    for name in hosts.places:
+        with trio.fail_after(HANG_SECONDS):
+            answer = await hosts.network._peers[name].receive(data)
+        # Other exceptions than `Failure` end the fake host, and so the test.
+        with suppress(Failure):
+            codec.decode(answer)
+
+
+async def check_serving(hosts: FakeHosts) -> None:
+    await trio.sleep(3)
+    for number, name in enumerate(hosts.places):
+        request = hosts.request(name, 900 + number, max_tokens=5)
+        run = await hosts.hosts[name].node.requests.submit(request)
+        tokens, outcome = await hosts.read(name, run.id, "planners")
+        assert tokens == answer_of(request)
+        assert outcome.is_answered
+
+
+@FUZZ
+@given(data=st.data())
+def test_any_values_in_each_handled_message(data):
+    async def feed() -> None:
+        async with start_hosts(3) as hosts:
+            kinds = list(hosts.network._peers["entry-0"]._handlers)
+            assert len(kinds) > 25
+            for kind in kinds * 6:
+                await send(hosts, data.draw(messages_of(kind)), data.draw(SENDERS))
+            await check_serving(hosts)
+
+    run(feed)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        verdicts_pb2.HoldUpstream(upstream="never-held", is_release=True),
+        membership_pb2.Ping(updates=[membership_pb2.MemberUpdate(state=5)]),
+        membership_pb2.Sync(
+            updates=[
+                membership_pb2.MemberUpdate(name="entry-1", life=MAX_NUMBER, host={})
+            ]
+        ),
+        membership_pb2.Sync(
+            updates=[
+                membership_pb2.MemberUpdate(
+                    name="entry-1", life=2**52, refutation=2**32 - 1, host={}
+                )
+            ]
+        ),
+        membership_pb2.UpstreamPush(
+            records=[
+                membership_pb2.UpstreamRecord(
+                    name="engine-0", epoch=9, description={"kind": "of later releases"}
+                )
+            ]
+        ),
+        consensus_pb2.LogProposeRequest(
+            group="control",
+            timeout=1.0,
+            proposals=[
+                consensus_pb2.LogProposal(id=b"a", name="links", command=b"\xff"),
+                consensus_pb2.LogProposal(id=b"b", name="unknown", command=b""),
+            ],
+        ),
+        *(
+            kind(group="control", timeout=timeout)
+            for kind in (
+                consensus_pb2.LogProposeRequest,
+                consensus_pb2.LogBarrierRequest,
+            )
+            for timeout in (math.nan, -1.0, math.inf)
+        ),
+    ],
+    ids=lambda message: message.DESCRIPTOR.name,
+)
+def test_what_ended_a_host_before(message):
+    async def feed() -> None:
+        async with start_hosts(3) as hosts:
+            await send(hosts, message, "entry-2")
+            await check_serving(hosts)
+
+    run(feed)
+
+
+@BYTES
+@given(
+    data=st.binary(max_size=30)
+    | messages_of(Envelope).map(lambda envelope: envelope.SerializeToString())
+    | cut_or_flipped(codec.encode(journal_pb2.CancelRequest(request_id="a"), "b"))
+)
+def test_any_bytes_are_a_message_or_a_failure(data):
+    try:
+        message, sender = codec.decode(data)
+    except Failure as failure:
+        assert failure.code in Code
+    else:
+        assert isinstance(message, Message)
+        assert isinstance(sender, str)
+
+
+async def test_damaged_frames_leave_the_host_serving():
+    """A damaged envelope is answered, and a damaged stream just ends."""
+    (port,) = free_ports(1)
+    good = codec.encode(journal_pb2.CancelRequest(request_id="a"), "b")
+    async with trio.open_nursery() as nursery:
+        server = GrpcPeers("server", f"127.0.0.1:{port}")
+        await nursery.start(server.serve)
+        server.handle(journal_pb2.CancelRequest, _answer)
+        client = GrpcPeers("client", "127.0.0.1:0")
+        client.set_address("server", f"127.0.0.1:{port}")
+        for data in (b"", b"\xff\xff", good[:-1]):
+            with pytest.raises(Failure) as caught:
+                codec.decode(await client._stream_to("server").call(data, 10.0))
+            assert caught.value.code is Code.INVALID_REQUEST
+        assert await trio.to_thread.run_sync(_send_raw, port, b"\xff\xff") == []
+        message = journal_pb2.CancelRequest(request_id="a")
+        assert (await client.call("server", message, 10.0)).is_found
+        client._channels["server"].close()
+        nursery.cancel_scope.cancel()
+
+
+def _send_raw(port: int, data: bytes) -> list[bytes]:
+    with grpc.insecure_channel(f"127.0.0.1:{port}") as channel:
+        exchange = channel.stream_stream("/pepperstep.Peer/Exchange")
+        return list(exchange(iter([data]), timeout=10.0))
+
+
+async def _answer(message: Message, sender: str) -> Message:
+    return journal_pb2.CancelDone(is_found=True)
+
+
+class DamagedAnswers:
+    """A peer's side of a stream whose first answer can't be decoded."""
+
+    def __init__(self, batches):
+        self._batches = batches
+
+    def __iter__(self):
+        next(self._batches)
+        yield b"\xff\xff"
+
+    def cancel(self) -> None:
+        pass
+
+
+async def test_damaged_answers_break_the_stream():
+    stream = PeerStream("peer", DamagedAnswers)
+    with pytest.raises(Failure, match="can't be decoded") as caught:
+        await stream.call(b"x", 5.0)
+    assert caught.value.code is Code.PEER_UNREACHABLE
+    assert stream.is_broken
