Fuzz settings, documents, event ids and the stored configuration

Values of any type at any key, and files with bytes changed or cut.

Found, red first: a file name with a zero byte in the settings of TLS or of the first documents raised ValueError in place of a finding.

Ruled out: base and overlay, Last-Event-ID, and the stored configuration gave findings or typed errors only.

--- a/src/pepperstep/settings.py
+++ b/src/pepperstep/settings.py
@@ -39,6 +39,7 @@
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Url = Annotated[str, Field(pattern=r"^(https?://[^\s/]+)?$")]
 Key = Annotated[str, Field(pattern=r"^[\x21-\x7e]*$")]
+File = Annotated[str, Field(pattern=r"^[^\x00]*$")]
 Flag = Annotated[bool, Field(strict=True)]
 PositiveSeconds = Annotated[float, Field(gt=0, le=86_400, strict=True)]
 
@@ -75,27 +76,27 @@
     """
 
     voters: tuple[Name, ...] = ()
-    data_folder: str = ""
+    data_folder: File = ""
 
 
 @dataclass(frozen=True, config=_STRICT)
 class TlsSettings:
     """Files in PEM; each may be empty for no TLS."""
 
-    caller_certificate: str = ""
-    caller_key: str = ""
-    peer_certificate: str = ""
-    peer_key: str = ""
-    peer_authority: str = ""
-    upstream_authority: str = ""
+    caller_certificate: File = ""
+    caller_key: File = ""
+    peer_certificate: File = ""
+    peer_key: File = ""
+    peer_authority: File = ""
+    upstream_authority: File = ""
 
 
 @dataclass(frozen=True, config=_STRICT)
 class DocumentSettings:
     """Documents that the first start of the control hosts begins with."""
 
-    base: str = ""
-    overlays: tuple[str, ...] = ()
+    base: File = ""
+    overlays: tuple[File, ...] = ()
 
 
 @dataclass(frozen=True, config=_STRICT)
