--- a/measure/change_times.py
+++ b/measure/change_times.py
@@ -94,13 +94,14 @@
             for place in places:
                 launcher.start_daemon(place, places, Documents(base))
             wait_ready(places)
-            times = [_change_processes(places, n) for n in range(_CHANGES)]
+            servers = [Server([place.url], OPERATOR_KEY) for place in places]
+            times = [_change_processes(servers, n) for n in range(_CHANGES)]
     return {_PROCESSES: times}
 
 
-def _change_processes(places: list[DaemonPlace], number: int) -> float:
+def _change_processes(servers: list[Server], number: int) -> float:
     time.sleep(_PAUSE_SECONDS)
-    server = Server([places[-1].url], OPERATOR_KEY)
+    server = servers[-1]
     view = server.get("configuration", ConfigurationView)
     text = next(d.text for d in view.documents if d.name == BASE)
     text += f"# change {number}\n"
@@ -110,7 +111,7 @@
     seen: list[float] = []
     threads = [
         threading.Thread(target=_wait_revision, args=(each, answer.revision, seen))
-        for each in places
+        for each in servers
     ]
     for thread in threads:
         thread.start()
@@ -119,8 +120,7 @@
     return max(seen) - accepted_at
 
 
-def _wait_revision(place: DaemonPlace, revision: int, seen: list[float]) -> None:
-    server = Server([place.url], OPERATOR_KEY)
+def _wait_revision(server: Server, revision: int, seen: list[float]) -> None:
     while server.get("configuration", ConfigurationView).revision < revision:
         time.sleep(_POLL_SECONDS)
     seen.append(time.monotonic())
--- a/measure/main.py
+++ b/measure/main.py
@@ -3,7 +3,7 @@
 import sys
 from collections.abc import Callable
 
-from absl import app
+from absl import app, logging
 
 __all__ = ["main"]
 
@@ -52,6 +52,7 @@
         names = ", ".join(_COMMANDS)
         sys.exit(f"usage: pepperstep-measure COMMAND [FLAGS]; one of {names}")
     command = _COMMANDS[name]()
+    logging.set_verbosity(logging.WARNING)
     app.run(command, argv=[f"pepperstep-measure {name}", *sys.argv[2:]])
 
 
--- a/measure/scenarios.py
+++ b/measure/scenarios.py
@@ -138,7 +138,7 @@
         {
             "usual": _OVERLOAD,
             "fixed limits": _routed(_OVERLOAD, limit="fixed", host_limit="fixed"),
-            "fifo": _routed(_OVERLOAD, queue="fifo"),
+            "no early refusal": _routed(_OVERLOAD, refuses_early=False),
             "fifo, no refusal": _routed(_OVERLOAD, queue="fifo", refuses_early=False),
         },
     ),
