Requests move off an upstream that says it leaves

Cause: moves began only at the cloud's notices; the registry never told them of an upstream that announced its own leaving. Found on the way: a notice by an upstream's name also covered its next life; it carries the epoch now. Checked: a stream of 2000 tokens goes on elsewhere within 8 s without recomputation, and the engine's next life is used again; both parts failed before (no call to note_leaving; no epoch).

--- a/src/pepperstep/node.py
+++ b/src/pepperstep/node.py
@@ -12,7 +12,12 @@
 from pepperstep.consensus import Consensus, RemoteAgreement
 from pepperstep.errors import Code, Failure
 from pepperstep.fleet import Fleet, FleetPorts
-from pepperstep.membership import Membership, Seed, UpstreamRegistry
+from pepperstep.membership import (
+    Membership,
+    Seed,
+    UpstreamChange,
+    UpstreamRegistry,
+)
 from pepperstep.observability import EventLog, Explanations, Metrics
 from pepperstep.operations import Operations
 from pepperstep.ports import (
@@ -109,7 +114,7 @@
         self.registry = UpstreamRegistry.from_config(
             self.host, self.directory.hosts, ports.peers, ports.timers, ports.rng
         )
-        self._recovery = Recovery.from_ports(
+        self.recovery = Recovery.from_ports(
             self.host.name,
             incarnation,
             ports.peers,
@@ -121,6 +126,7 @@
             settings=self._policies.moves,
             is_guarded=self._policies.is_guarded,
         )
+        self.registry.subscribe(self._note_upstream)
         self.router = self._make_router()
         self.requests = self._make_requests(incarnation)
         self._fleet = self._make_fleet()
@@ -236,7 +242,7 @@
 
     def _make_router(self) -> Router:
         return Router(
-            self._recovery.moves,
+            self.recovery.moves,
             self._ports.timers,
             settings=self._policies.routing,
             rng=self._ports.rng,
@@ -262,7 +268,7 @@
             outcome_seconds=limits.outcome_seconds,
             claims=self._claims,
             recorder=self.metrics,
-            recovery=self._recovery,
+            recovery=self.recovery,
             explanations=self.explanations,
         )
 
@@ -292,12 +298,20 @@
         watch("is_leader", "1 on the leader.", lambda: self.agreement.is_leader)
         watch("in_flight", "Requests owned.", lambda: self.requests.running)
 
+    def _note_upstream(self, change: UpstreamChange) -> None:
+        """Move requests off an upstream that says it leaves."""
+        before, after = change.before, change.after
+        if after is None or not after.is_leaving:
+            return
+        if before is None or not before.is_leaving:
+            self.recovery.moves.note_leaving(after)
+
     async def _reclaim(self, notices: list[ReclaimNotice]) -> None:
         """Tell all entry hosts of hosts that the cloud takes back."""
         for notice in notices:
             self.registry.mark_host_leaving(notice.host_id)
             self.events.note("fleet", f"The cloud takes {notice.host_id} back.")
-        self._recovery.moves.reclaim(
+        self.recovery.moves.reclaim(
             [Notice(f"cloud-{each.id}", each.at, each.host_id) for each in notices]
         )
 
--- a/src/pepperstep/requests/mover.py
+++ b/src/pepperstep/requests/mover.py
@@ -66,12 +66,15 @@
     at: float
     host: str = ""
     upstream: str = ""
+    # Last life of the upstream that is meant, 0 for all.
+    epoch: int = 0
 
     def covers(self, upstream: Upstream) -> bool:
         """Whether the upstream ends."""
         if self.host:
             return upstream.host == self.host
-        return upstream.name == self.upstream
+        is_later = 0 < self.epoch < upstream.epoch
+        return upstream.name == self.upstream and not is_later
 
 
 class Moves:
@@ -135,7 +138,8 @@
         if self._notice_of(upstream) is None:
             at = self._timers.wall() + self._settings.assumed_seconds
             notice_id = f"{upstream.name}/{upstream.epoch}"
-            self.reclaim([Notice(notice_id, at, upstream=upstream.name)])
+            notice = Notice(notice_id, at, "", upstream.name, upstream.epoch)
+            self.reclaim([notice])
 
     def is_leaving(self, upstream: Upstream) -> bool:
         """Whether the upstream will end, or ended, by a reclaim."""
@@ -173,7 +177,7 @@
 
     def _read(self, message: Message) -> None:
         for each in message.notices:
-            notice = Notice(each.id, each.at, each.host, each.upstream)
+            notice = Notice(each.id, each.at, each.host, each.upstream, each.epoch)
             self._add(notice, is_own=False)
 
     def _has_work(self) -> bool:
@@ -311,7 +315,11 @@
 def _pack(notices: Iterable[Notice], is_pull: bool) -> moves_pb2.ReclaimNotices:
     records = [
         moves_pb2.AnnouncedReclaim(
-            id=notice.id, host=notice.host, upstream=notice.upstream, at=notice.at
+            id=notice.id,
+            host=notice.host,
+            upstream=notice.upstream,
+            epoch=notice.epoch,
+            at=notice.at,
         )
         for notice in notices
     ]
--- a/tests/whole/test_whole_hosts.py
+++ b/tests/whole/test_whole_hosts.py
@@ -75,3 +75,22 @@
     ]
     assert steps[1].upstream != steps[3].upstream
     assert steps[1].reason
+
+
+async def test_requests_move_off_an_upstream_that_says_it_leaves(autojump_clock):
+    async with start_hosts() as hosts:
+        await trio.sleep(2)
+        node = hosts.hosts["entry-4"].node
+        request = hosts.request("entry-4", max_tokens=2000)
+        run = await node.requests.submit(request)
+        before, _ = await hosts.read("entry-4", run.id, "planners", limit=5)
+        engine = hosts.upstreams.all[run.upstream]
+        engine.leave()
+        await trio.sleep(8)
+        assert not engine.load.running
+        after, _ = await hosts.read("entry-4", run.id, "planners", len(before))
+        engine.start_again()
+        await trio.sleep(2)
+        assert engine.name in {each.name for each in node.recovery.moves.candidates()}
+    assert before + after == answer_of(request)
+    assert sum(each.computed_tokens for each in hosts.upstreams.engines) < 50
