--- a/measure/policies.py
+++ b/measure/policies.py
@@ -44,9 +44,9 @@
     started = time.monotonic()
     jobs = _jobs(_SCENARIOS.value, _SEED.value)
     results = _run_all(jobs)
+    seconds = time.monotonic() - started
     if _REPEATS.value:
         _check_same(results, _run_all(jobs))
-    seconds = time.monotonic() - started
     judgements = judge(results)
     print_tables(results, judgements, sys.stdout)
     if _FOLDER.value:
@@ -82,8 +82,15 @@
 
 
 def _check_same(first: dict, second: dict) -> None:
-    if first != second:
-        raise SystemExit("Two runs with the same seed gave different figures.")
+    different = [
+        f"{scenario} ({policy})"
+        for scenario, policies in first.items()
+        for policy, result in policies.items()
+        if result != second[scenario][policy]
+    ]
+    if different:
+        names = ", ".join(different)
+        raise SystemExit(f"Two runs with the same seed differ: {names}.")
     print("Two runs with the same seed gave the same figures.")
 
 
