Accepted requests wait a bounded time for the retry budget

Ruled out: letting such retries exceed the budget, which is there to protect engines that live; giving up at once, which loses what the caller has of the answer. Changed: a retry that isn't paid waits up to 12 s for the budget, by then one is granted in a quiet workspace; after that the final answer comes at once, with the time to return. No more retries are made than before; under lasting faults refusals come up to 12 s later.

--- a/src/pepperstep/routing/router.py
+++ b/src/pepperstep/routing/router.py
@@ -33,6 +33,7 @@
 __all__ = ["Router"]
 
 _DELAY_PERIOD = 0.1
+_BUDGET_PERIOD = 0.25
 _ENDINGS = 10_000
 
 
@@ -218,12 +219,27 @@
             return RetryCause.REFUSED
         return RetryCause.FAILED if tracked.is_erring(now) else RetryCause.DIED
 
+    async def _pay(self, request: Request, cause: RetryCause) -> bool:
+        """Pay for a retry; wait a bounded time for the budget to allow one.
+
+        The request is accepted, and its caller may have a part of the answer,
+        so a late retry beats a lost request.
+        """
+        give_up_at = self._timers.now() + self._settings.retry_wait
+        while True:
+            now = self._timers.now()
+            if self._retries.take(request.workspace, now, cause.may_exceed):
+                return True
+            is_late = self._timers.wall() >= request.deadline
+            if cause.may_exceed or now >= give_up_at or is_late:
+                return False
+            await self._timers.sleep(_BUDGET_PERIOD * self._rng.uniform(0.5, 1.5))
+
     async def _pause(
         self, request: Request, attempt: int, cause: RetryCause, execution: Execution
     ) -> None:
         """Pay for a retry, and wait before it."""
-        now = self._timers.now()
-        is_paid = self._retries.take(request.workspace, now, cause.may_exceed)
+        is_paid = await self._pay(request, cause)
         if not is_paid and not cause.may_exceed:
             raise Failure(
                 Code.RETRIES_EXHAUSTED,
--- a/src/pepperstep/routing/settings.py
+++ b/src/pepperstep/routing/settings.py
@@ -87,6 +87,8 @@
     retry_burst: Count = 10
     host_retry_burst: Count = 50
     retry_floor_period: Seconds = 10.0
+    # Longest wait of an accepted request for the budget, in seconds.
+    retry_wait: Seconds = 12.0
     backoff_base: Seconds = 0.05
     backoff_cap: Seconds = 2.0
     # An upstream that failed and still announces itself after this isn't dead.
