Measure slopes of what a host costs, for the target size

pepperstep-measure capacity runs the packages alone or whole hosts in virtual time at three sizes or more, and real daemons and gRPC streams, each in a process of its own; membership, registry, verdicts, log, claims, configuration, requests, fleet.

--- a/measure/capacity_requests.py
+++ b/measure/capacity_requests.py
@@ -10,12 +10,21 @@
 import trio
 
 from measure.capacity_lines import Meter, Point, run_virtual, trace_bytes
-from pepperstep.entities import Host, ModelKey
-from pepperstep.fakes import FakeEngine, FakeService, FakeUpstreams
+from pepperstep.entities import (
+    Host,
+    ModelKey,
+    Priority,
+    Request,
+    RequestKind,
+    Upstream,
+    UpstreamKind,
+)
+from pepperstep.fakes import FakeEngine, FakeService, FakeTimers, FakeUpstreams
 from pepperstep.fakes.hosts import FakeHosts, HostPlace
 from pepperstep.requests.journal import rank_hosts
+from pepperstep.routing import Router
 
-__all__ = ["measure_held", "measure_ranking", "measure_requests"]
+__all__ = ["measure_held", "measure_ranking", "measure_requests", "measure_view"]
 
 _KEY = ModelKey("zaseki-7b", "", "1")
 _ZONES = 3
@@ -140,3 +149,58 @@
         rank_hosts(names, key)
     seconds = (time.process_time() - started) / count
     return Point("ranking", {"hosts": hosts}, {"processor": seconds})
+
+
+class _View:
+    """Upstreams of a hundred deployments, and a clock that goes on at each look."""
+
+    def __init__(self, count: int):
+        self._upstreams = [
+            Upstream(
+                f"engine-{number}",
+                1,
+                "",
+                UpstreamKind.ENGINE,
+                "",
+                f"zone-{number % _ZONES}",
+                models=frozenset({ModelKey(f"model-{number % 100}")}),
+            )
+            for number in range(count)
+        ]
+
+    def candidates(self) -> list[Upstream]:
+        return self._upstreams
+
+
+class _Steps(FakeTimers):
+    """Timers by which each look comes a second after the one before."""
+
+    time = 0.0
+
+    def now(self) -> float:
+        self.time += 1.0
+        return self.time
+
+
+def measure_view(upstreams: int, rounds: int = 50) -> Point:
+    """Return processor time of the router's look at all upstreams it knows."""
+
+    async def run() -> float:
+        router = Router(_View(upstreams), _Steps())
+        router.check(request)
+        started = time.process_time()
+        for _ in range(rounds):
+            router.check(request)
+        return (time.process_time() - started) / rounds
+
+    request = Request(
+        "r",
+        "w",
+        RequestKind.CHAT,
+        "model-1",
+        Priority.STANDARD,
+        deadline=3e9,
+        model_key=ModelKey("model-1"),
+    )
+    seconds = run_virtual(run)
+    return Point("router's view", {"upstreams": upstreams}, {"processor": seconds})
--- a/measure/main.py
+++ b/measure/main.py
@@ -14,6 +14,12 @@
     return policies.main
 
 
+def _capacity() -> Callable:
+    from measure import capacity
+
+    return capacity.main
+
+
 def _log() -> Callable:
     from measure import log
 
@@ -38,6 +44,7 @@
 
 # Each imports its module only when it's asked for, as flags are global.
 _COMMANDS = {
+    "capacity": _capacity,
     "log": _log,
     "policies": _policies,
     "relay": _relay,
