--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -51,6 +51,8 @@
     ):
         self.scene = scene
         self.name = name
+        # Idempotency key, which tells the content as well.
+        self.key = name
         self.home = home
         self.prompt = prompt or f"Seat the guests of {name}."
         self.max_tokens = max_tokens
@@ -70,7 +72,7 @@
         self._hosts.remove(home)
         self._hosts.insert(0, home)
         self._last_id = ""
-        self._is_repeatable = not name.startswith("service")
+        self.is_repeatable = not name.startswith("service")
         self._is_accepted = trio.Event()
 
     def has_attempt(self, attempt_id: str) -> bool:
@@ -129,7 +131,7 @@
     def _take_refusal(self, outcome: Outcome) -> None:
         """Go on after a refusal that says when to come back, else end."""
         self._note_refusal(outcome)
-        is_safe = self._is_repeatable or outcome.execution is Execution.NOT_RUN
+        is_safe = self.is_repeatable or outcome.execution is Execution.NOT_RUN
         if outcome.code not in _PASSING or not is_safe:
             self.outcome = outcome
 
@@ -149,13 +151,13 @@
         return submitted.id
 
     def _new_request(self) -> Request:
-        changes = {"idempotency_key": self.name, "prompt": self.prompt}
-        if not self._is_repeatable:
+        changes = {"idempotency_key": self.key, "prompt": self.prompt}
+        if not self.is_repeatable:
             changes |= {
                 "kind": RequestKind.SERVICE,
                 "target": "quote-api",
                 "is_repeatable": False,
-                "body": self.name.encode(),
+                "body": self.key.encode(),
             }
         number = 1000 * (1 + self.scene.callers.index(self)) + len(self.ids)
         host = self._hosts[0]
@@ -164,7 +166,7 @@
             number,
             seed=7,
             max_tokens=self.max_tokens,
-            fingerprint=self.name,
+            fingerprint=self.key,
             **changes,
         )
         self.request = request
--- a/tests/faults/promises.py
+++ b/tests/faults/promises.py
@@ -42,27 +42,25 @@
 
 def _is_promised(caller, scene: Scene) -> bool:
     """Whether an answer is due: a claim may end in doubt, a crash in a refusal."""
-    return caller is not scene.service and caller.prompt != POISON
+    return caller.is_repeatable and caller.prompt != POISON
 
 
 def _check_own_answers(scene: Scene) -> list[str]:
     """(b) Whole answers have all tokens, each the request's own."""
     findings = []
     stream = scene.stream
-    answers = [
-        (c, c.tokens, c.outcome) for c in scene.callers if c is not scene.service
-    ]
+    answers = [(c, c.tokens, c.outcome) for c in scene.callers if c.is_repeatable]
     answers.append((stream, stream.tokens_beside, stream.outcome_beside))
     for caller, tokens, outcome in answers:
         if outcome is None or not outcome.is_answered:
             continue
         if tokens != answer_of(caller.request) or outcome.finish != "length":
             findings.append(f"(b) {caller.name}: {len(tokens)} tokens, {outcome}.")
-    outcome = scene.service.outcome
-    body = b"done " + scene.service.name.encode()
-    answer = ServiceAnswer(200, "application/json", body)
-    if outcome and outcome.is_answered and outcome.service != answer:
-        findings.append(f"(b) Service: {outcome.service}.")
+    answer = ServiceAnswer(200, "application/json", b"done service")
+    for caller in (scene.service, scene.repeat):
+        outcome = caller.outcome
+        if outcome and outcome.is_answered and outcome.service != answer:
+            findings.append(f"(b) Service: {outcome.service}.")
     return findings
 
 
@@ -92,13 +90,16 @@
     )
     if runs > 1:
         return [f"(d) Ran {runs} times."]
-    if service.outcome is None:
-        return []
-    if service.outcome.is_answered:
-        return [] if runs == 1 else [f"(d) Answered after {runs} runs."]
-    if service.outcome.execution is Execution.NOT_RUN and runs:
-        return [f"(d) Has run: {service.outcome}."]
-    return []
+    findings = []
+    for outcome in (service.outcome, scene.repeat.outcome):
+        if outcome is None:
+            continue
+        if outcome.is_answered and runs != 1:
+            findings.append(f"(d) Answered after {runs} runs.")
+        is_refused = not outcome.is_answered
+        if is_refused and outcome.execution is Execution.NOT_RUN and runs:
+            findings.append(f"(d) Has run: {outcome}.")
+    return findings
 
 
 def _check_leaving(scene: Scene) -> list[str]:
--- a/tests/faults/scene.py
+++ b/tests/faults/scene.py
@@ -56,6 +56,8 @@
 _IN_FORCE_SECONDS = 2.0
 # This engine says that it leaves, and stays; short requests show who hears it.
 _LEAVER = "engine-5"
+# While the service runs the call.
+_REPEAT_AFTER = 0.1
 _LEAVE_AFTER = 0.05
 _STAY_SECONDS = 1000.0
 # From the third on all hosts know of it.
@@ -168,8 +170,11 @@
         self.revision = store.revision
         self.stream = RequestCaller(self, "stream", "entry-3")
         self.service = RequestCaller(self, "service", "entry-3")
+        # Sends the same call with the same key at another host.
+        self.repeat = RequestCaller(self, "service-repeat", "entry-1")
+        self.repeat.key = self.service.key
         self.change = ChangeCaller(self, "entry-3")
-        self.callers: list[RequestCaller] = [self.stream, self.service]
+        self.callers: list[RequestCaller] = [self.stream, self.service, self.repeat]
         self.changes: list[ChangeCaller] = [self.change]
         # Owner, second and upstream of each caller's request, as last seen.
         self.owners: dict[str, str] = {}
@@ -216,8 +221,9 @@
         """Run all workloads to their end, and wait until all is in force."""
         with trio.move_on_after(_LONGEST_SECONDS):
             async with trio.open_nursery() as nursery:
-                for caller in list(self.callers):
-                    nursery.start_soon(caller.run)
+                nursery.start_soon(self.stream.run)
+                nursery.start_soon(self.service.run)
+                nursery.start_soon(self._send_repeat)
                 nursery.start_soon(self.stream.read_beside, "entry-1")
                 for change in self.changes:
                     nursery.start_soon(change.run)
@@ -322,6 +328,10 @@
         await trio.sleep(_RECLAIM_AFTER)
         self.reclaim(_NOTICE_SECONDS, name=self.upstream(self.stream).upstream.name)
 
+    async def _send_repeat(self) -> None:
+        await trio.sleep(_REPEAT_AFTER)
+        await self.repeat.run()
+
     async def _send_short(self) -> None:
         """Send short requests at all hosts in turn, while an engine leaves."""
         began_at = trio.current_time()
--- /dev/null
+++ b/tests/faults/test_drains.py
@@ -0,0 +1,61 @@
+"""A host that leaves cuts nothing, also for callers that aren't connected to it."""
+
+import trio
+
+from pepperstep.entities import RequestKind
+from pepperstep.fakes import answer_of
+from tests.faults.scene import Scene
+
+# Longer than a drain waits for.
+_LONG_TOKENS = 700
+# Longer than callers may keep the list of entry hosts.
+_LONG_CALL_SECONDS = 5.0
+
+
+async def test_call_of_a_vanished_caller_ends(autojump_clock):
+    async with Scene.start() as scene:
+        hosts = scene.hosts
+        request = hosts.request(
+            "entry-3",
+            1,
+            kind=RequestKind.SERVICE,
+            target="quote-api",
+            is_repeatable=False,
+            idempotency_key="quote",
+            body=b"quote",
+        )
+        for name in ("quote-0", "quote-1"):
+            hosts.upstreams.all[name].seconds = _LONG_CALL_SECONDS
+        await hosts.call("entry-3", lambda node: node.requests.submit(request))
+        scene.nursery.start_soon(hosts.drain, "entry-3")
+        await trio.sleep(_LONG_CALL_SECONDS / 2)
+        _, outcome = await hosts.read("entry-1", request.id, "planners")
+        assert outcome.is_answered, outcome
+
+
+async def test_rolling_restart_stalls_no_stream(autojump_clock):
+    async with Scene.start() as scene:
+        hosts = scene.hosts
+        request = hosts.request("entry-3", 1, max_tokens=_LONG_TOKENS, seed=7)
+        await hosts.call("entry-3", lambda node: node.requests.submit(request))
+        tokens: list[str] = []
+        pauses = []
+
+        async def read() -> None:
+            heard_at = trio.current_time()
+            parts = hosts.hosts["entry-1"].node.requests.read(request.id, "planners", 0)
+            async for part in parts:
+                pauses.append(trio.current_time() - heard_at)
+                heard_at = trio.current_time()
+                tokens.extend(part.tokens)
+                if part.outcome is not None:
+                    assert part.outcome.is_answered
+            await parts.aclose()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read)
+            for name in ("entry-3", "entry-0", "entry-2"):
+                await hosts.drain(name)
+                await hosts.start_host(name)
+        assert tokens == answer_of(request)
+        assert max(pauses) < 1.0, max(pauses)
