Send the end of a streamed answer whatever the application is told

Over TLS about every second stream lost its last events, and the caller waited for ever: hypercorn tells the application http.disconnect as soon as it has taken the last piece, the application cancels the reading, and that cancelled the flush of the held piece at its next checkpoint. Without TLS the same would have come of a full send buffer. Found by seven daemons set up by hand with certificates; the tests of the TLS listener asked for no stream.

The last piece is now sent in a shielded scope.

--- a/src/pepperstep/adapters/http_api/connection.py
+++ b/src/pepperstep/adapters/http_api/connection.py
@@ -71,12 +71,25 @@
         async def send_together(event: dict) -> None:
             if self._held is None:
                 self._held = []
-            await send(event)
+            if event.get("more_body") or event["type"] == "http.response.start":
+                await send(event)
+            else:
+                await self._send_end(send, event)
             if event["type"] != "http.response.start":
                 await self._flush()
 
         await self._application(scope, receive, send_together)
 
+    async def _send_end(self, send: Callable, event: dict) -> None:
+        """Send an answer's last piece.
+
+        Hypercorn tells the application that all is over while it's still to be
+        sent, and the application then ends what it does for the answer.
+        """
+        with trio.CancelScope(shield=True):
+            await send(event)
+            await self._flush()
+
     async def _flush(self) -> None:
         held = self._held
         self._held = None
