Upstreams are called over TLS where the settings name their authority

The setting tls.upstream_authority was checked and then not used. Tested with a certificate of that authority and one of another, which is refused.

--- a/src/pepperstep/daemon.py
+++ b/src/pepperstep/daemon.py
@@ -3,6 +3,7 @@
 import random
 import secrets
 import signal
+import ssl
 import sys
 from pathlib import Path
 
@@ -118,7 +119,7 @@
     return Ports(
         timers=TrioTimers(rng),
         peers=peers,
-        upstreams=HttpUpstreams(settings.upstream_key),
+        upstreams=HttpUpstreams(settings.upstream_key, _trust(settings.tls)),
         rng=rng,
         storage=FolderStorage(Path(data_folder)) if data_folder else None,
         cloud=HttpCloud(cloud_url) if cloud_url else None,
@@ -126,6 +127,13 @@
     )
 
 
+def _trust(tls: TlsSettings) -> ssl.SSLContext | None:
+    """Return what upstreams' certificates are checked by, None for no TLS."""
+    if not tls.upstream_authority:
+        return None
+    return ssl.create_default_context(cafile=tls.upstream_authority)
+
+
 def _credentials(tls: TlsSettings) -> PeerCredentials | None:
     if not tls.peer_certificate:
         return None
