The daemon names the cause of its end

A damaged log ended it with 'Exceptions from Trio nursery (1 sub-exception)', as each nursery adds a group and only the outermost was opened.

--- a/src/pepperstep/daemon.py
+++ b/src/pepperstep/daemon.py
@@ -46,9 +46,16 @@
     try:
         trio.run(_run, settings)
     except* OSError as errors:
-        _exit(EXIT_LISTEN, f"{errors.exceptions[0]}")
+        _exit(EXIT_LISTEN, f"{_first_of(errors)}")
     except* Failure as errors:
-        _exit(EXIT_STORAGE, f"{errors.exceptions[0]}")
+        _exit(EXIT_STORAGE, f"{_first_of(errors)}")
+
+
+def _first_of(error: BaseException) -> BaseException:
+    """Return what went wrong first; each nursery adds a group around it."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
 
 
 def _read_settings(name: str) -> Settings:
