--- a/measure/policies.py
+++ b/measure/policies.py
@@ -5,6 +5,7 @@
 
 import json
 import multiprocessing
+import os
 import sys
 import time
 from concurrent.futures import ProcessPoolExecutor
@@ -66,6 +67,8 @@
 
 def _run_all(jobs: list[Job]) -> dict[str, dict[str, Result | DayResult]]:
     """Return the results by scenario and policy, in the order of the jobs."""
+    # Sets of strings would else have another order in each process.
+    os.environ["PYTHONHASHSEED"] = "0"
     context = multiprocessing.get_context("spawn")
     results: dict[str, dict[str, Result | DayResult]] = {}
     with ProcessPoolExecutor(_WORKERS.value, context) as pool:
