Queueing time is recorded

Cause: the histogram of queueing time was declared and nothing fed it. Changed: the driver notes the wait for each place. Checked: a whole host with two attempts counts two waits (the test failed before: no such sample).

--- a/src/pepperstep/requests/driver.py
+++ b/src/pepperstep/requests/driver.py
@@ -138,7 +138,13 @@
             self._check_repeatable(run, False)
             await self._recover_taken(run, course)
         while True:
+            asked_at = self._timers.now()
             placement = await self._placer.place(run, course)
+            self._recorder.note_queued(
+                run.request.workspace,
+                run.request.priority,
+                self._timers.now() - asked_at,
+            )
             upstream = placement.upstream
             course.excluded.add(upstream.name)
             if course.cause is not None:
--- a/tests/whole/test_whole_hosts.py
+++ b/tests/whole/test_whole_hosts.py
@@ -73,6 +73,10 @@
         StepKind.DISPATCHED,
         StepKind.ANSWERED,
     ]
+    text = node.metrics.render().decode()
+    assert (
+        'queueing_seconds_count{class="interactive",workspace="planners"} 2.0' in text
+    )
     assert steps[1].upstream != steps[3].upstream
     assert steps[1].reason
 
