A new holder orders upstreams soon, and counts what stands in dry zones

Change: what stands in dry zones counts, but for the largest; then the peak of late decides, as the next loss comes with the next wave. All control hosts keep the demand. A new holder waits two thirds of the lease: a leader cut off believes in itself for 0.8 s at most after the election, so its own acts lie 3.2 s apart at least. Ruled out: the election (1.2 s). Conclusion: two losses in a row, and one beside a cut, are borne.

One test let a past peak with a dry zone have no steady ones; it is split: without dry zones there are none still, with one exactly as many as the peak lacks.

--- a/src/pepperstep/coordination/duty.py
+++ b/src/pepperstep/coordination/duty.py
@@ -14,6 +14,12 @@
 
 __all__ = ["Duty", "Holder"]
 
+# Part of the lease that a new leader waits. A leader that is cut off takes itself
+# for the leader for up to 0.8 s after the election of the next. If it comes back
+# after that one has acted, two such waits lie between its own acts: with a lease
+# of 3 s, at least 3.2 s.
+_WAIT_SHARE = 2 / 3
+
 
 @dataclass(frozen=True, slots=True)
 class Holder:
@@ -46,7 +52,7 @@
             self._term = term
             self._since = now
         is_first = term == 1
-        if not is_first and now - self._since < self._lease:
+        if not is_first and now - self._since < _WAIT_SHARE * self._lease:
             return None
         if self._told != term:
             self._told = term
--- a/src/pepperstep/coordination/ordering.py
+++ b/src/pepperstep/coordination/ordering.py
@@ -34,8 +34,8 @@
 _SHRINK_SECONDS = 15.0
 # The same for steady ones, which cost five times as much.
 _SHRINK_STEADY_SECONDS = 2.0
-# Upstreams that were told to this host before it plans, in seconds: until then
-# it doesn't know what stands.
+# Time after its start until a host plans, in seconds: until then it may not know
+# what stands.
 _LEARN_SECONDS = 1.5
 
 
@@ -51,7 +51,8 @@
 
 @dataclass(slots=True)
 class _ServiceState:
-    demands: deque[tuple[float, float]] = field(default_factory=deque)
+    """What the holder of the duty has ordered, and learned from the answers."""
+
     wishes: dict[tuple[str, bool], _Wish] = field(default_factory=dict)
     # Zones without reclaimable upstreams, and when they are asked again.
     dry_until: dict[str, float] = field(default_factory=dict)
@@ -80,34 +81,41 @@
         self._zones = zones
         self._timers = timers
         self._states: dict[str, _ServiceState] = {}
+        # Means of the work and when they were taken, by service.
+        self._demands: dict[str, deque[tuple[float, float]]] = {}
         self._fence = 0
-        self._holds_since = 0.0
+        self._started_at = timers.now()
 
     async def run(self) -> None:
         """Order until cancelled."""
         async for now in self._timers.subscribe(_POLL_SECONDS):
             holder = self._duty.holder()
-            if holder is None:
-                continue
-            if holder.fence != self._fence:
-                self._begin(holder, now)
+            if holder is not None and holder.fence != self._fence:
+                self._begin(holder)
             for service in self._tables.current.services.values():
-                if service.scaling is not None:
-                    await self._keep(service, service.scaling, holder, now)
-
-    def _begin(self, holder: Holder, now: float) -> None:
+                if service.scaling is None:
+                    continue
+                # Known to all control hosts, so that a new holder can act at once.
+                demand = self._note_demand(service.name, now)
+                if holder is not None:
+                    await self._keep(service, service.scaling, demand, holder, now)
+
+    def _begin(self, holder: Holder) -> None:
         """Start anew: what an earlier holder has ordered isn't known here."""
         self._fence = holder.fence
-        self._holds_since = now
         self._states.clear()
 
     async def _keep(
-        self, service: Service, bounds: ScalingBounds, holder: Holder, now: float
+        self,
+        service: Service,
+        bounds: ScalingBounds,
+        demand: Demand,
+        holder: Holder,
+        now: float,
     ) -> None:
-        state = self._states.setdefault(service.name, _ServiceState())
-        demand = self._note_demand(state, service.name, now)
-        if now - self._holds_since < _LEARN_SECONDS:
+        if now - self._started_at < _LEARN_SECONDS:
             return
+        state = self._states.setdefault(service.name, _ServiceState())
         standing = self._standing(service.name)
         if not standing:
             return
@@ -129,12 +137,13 @@
         for zone, counts in plan.items():
             await self._order_zone(service.name, zone, counts, standing, holder, state)
 
-    def _note_demand(self, state: _ServiceState, service: str, now: float) -> Demand:
+    def _note_demand(self, service: str, now: float) -> Demand:
         present = self._desk.load_of(service)
-        state.demands.append((now, present))
-        while state.demands[0][0] < now - _DEMAND_SECONDS:
-            state.demands.popleft()
-        return Demand(max(load for _, load in state.demands), present)
+        demands = self._demands.setdefault(service, deque())
+        demands.append((now, present))
+        while demands[0][0] < now - _DEMAND_SECONDS:
+            demands.popleft()
+        return Demand(max(load for _, load in demands), present)
 
     def _standing(self, service: str) -> dict[tuple[str, bool], int]:
         """Return the upstreams that take work by zone and kind."""
--- a/src/pepperstep/coordination/scaling.py
+++ b/src/pepperstep/coordination/scaling.py
@@ -58,16 +58,17 @@
 ) -> dict[str, ZoneCounts]:
     """Return what each zone shall have.
 
-    Zones of `dry` give out no reclaimable upstreams. Of the other zones, each one
-    may be lost next, so the rest of them has enough for the peak. An upstream
-    takes longer to start than a zone's upstreams take to leave, so this is
-    ordered as soon as a zone is dry, and not when the next one is lost.
-
-    Steady ones, which cost five times as much, follow the present demand. They
-    make up for what reclaimable ones can't carry, the cheapest zones first, and
-    stay until those stand.
+    Zones of `dry` give out no reclaimable upstreams, beside what stands there.
+    Once there are any, the next zone may be lost soon, so all but the largest
+    have enough for the peak. An upstream takes longer to start than a zone's
+    upstreams take to leave, so this is ordered as soon as a zone is dry, and not
+    when the next one is lost.
+
+    Steady ones, which cost five times as much, make up for what reclaimable ones
+    can't carry, the cheapest zones first, and stay until those stand. Without dry
+    zones they follow the present demand and not its peak.
     """
-    needed = math.ceil(demand.peak / _REQUESTS_EACH)
+    needed = max(math.ceil(demand.peak / _REQUESTS_EACH), _LEAST)
     open_zones = [zone for zone in zones if zone not in dry]
     least = math.ceil(_LEAST_SHARE * bounds.max_count)
     reclaimable = {}
@@ -76,20 +77,25 @@
         count = max(_spread(needed, sharing), least)
         reclaimable[zone] = min(count, bounds.max_count)
     needed_now = max(math.ceil(demand.present / _REQUESTS_EACH), _LEAST)
-    carried = [reclaimable[zone] for zone in open_zones]
-    lacking = max(
-        _lacking_for_next_loss(needed_now, carried),
-        _still_lacking(needed_now, standing),
-    )
+    lacking = _still_lacking(needed_now, standing)
+    if dry:
+        carried = [
+            standing[zone].reclaimable if zone in dry else reclaimable[zone]
+            for zone in zones
+        ]
+        lacking = max(lacking, _lacking_for_next_loss(needed, carried))
+    else:
+        lacking = max(lacking, needed_now - sum(reclaimable.values()))
     return _with_steady(lacking, bounds, zones, reclaimable, standing)
 
 
 def _lacking_for_next_loss(needed: int, carried: list[int]) -> int:
-    """Return how many are lacking once the largest of the open zones is lost."""
-    if len(carried) == 1:
-        spare = math.ceil(_SINGLE_ZONE_SHARE * needed)
-        return max(spare, needed - carried[0])
-    return needed - sum(carried) + max(carried, default=0)
+    """Return how many are lacking once the zone with the most of them is lost."""
+    rest = sum(carried) - max(carried)
+    if rest:
+        return needed - rest
+    spare = math.ceil(_SINGLE_ZONE_SHARE * needed)
+    return max(spare, needed - max(carried))
 
 
 def _still_lacking(needed: int, standing: Mapping[str, ZoneCounts]) -> int:
@@ -112,7 +118,7 @@
     for zone in sorted(zones, key=lambda name: (_price(bounds, name), name)):
         steady = max(0, bounds.min_count - reclaimable[zone])
         if lacking > 0:
-            present = standing.get(zone, ZoneCounts()).reclaimable
+            present = standing[zone].reclaimable
             steady = min(max(steady, share), bounds.max_count - present)
             lacking -= steady
         room = bounds.max_count - steady
--- /dev/null
+++ b/tests/relaying/test_ordering.py
@@ -0,0 +1,203 @@
+"""What stands of a service while zones take their reclaimable upstreams back."""
+
+import json
+import random
+
+import pytest
+import trio
+
+from pepperstep.coordination import Announcement, TableStore, UpstreamBook
+from pepperstep.coordination.duty import Duty
+from pepperstep.coordination.ordering import Ordering
+from pepperstep.errors import Code, Failure
+from pepperstep.fakes import FakeTimers
+from pepperstep.platform import decode_table
+from tests.relaying.world import document
+
+ZONES = ("a", "b", "c")
+BOOT_SECONDS = 4.0
+# An engine that works on so many requests makes none of them wait.
+REQUESTS_EACH = 5
+SCALING = {
+    "min_replicas": 1,
+    "max_replicas": 6,
+    "boot_s": BOOT_SECONDS,
+    "spot_price": 0.2,
+    "zone_prices": {"a": 0.85, "b": 1.2, "c": 1.0},
+}
+
+
+class FakeAgreementState:
+    """A log of which only leader and term are asked."""
+
+    def __init__(self) -> None:
+        self.is_leader = True
+        self.term = 1
+
+
+class FakeDesk:
+    """Entry hosts' reports, as far as the work under way goes."""
+
+    def __init__(self) -> None:
+        self.load = 0.0
+
+    def load_of(self, service: str) -> float:
+        return self.load
+
+
+class FakePlatform:
+    """Starts and stops upstreams as ordered, and takes zones' reclaimable ones."""
+
+    def __init__(self, book: UpstreamBook, nursery: trio.Nursery):
+        self.is_dry = False
+        # Time, holder and fence of each order.
+        self.orders: list[tuple[float, str, int]] = []
+        self.most = 0
+        self._book = book
+        self._nursery = nursery
+        self._wanted: dict[tuple[str, bool], int] = {}
+        self._standing: dict[tuple[str, bool], list[str]] = {}
+        self._number = 0
+
+    @property
+    def count(self) -> int:
+        return len(self._book.working("model"))
+
+    async def order(self, order, holder: str, fence: int) -> None:
+        key = (order.zone, order.is_reclaimable)
+        self.orders.append((trio.current_time(), holder, fence))
+        standing = self._standing.setdefault(key, [])
+        if order.is_reclaimable and self.is_dry and order.count > len(standing):
+            raise Failure(Code.OVERLOADED, "None of that kind is to be had.")
+        self._wanted[key] = order.count
+        while len(standing) > order.count:
+            self._book.note_gone(standing.pop())
+        self._nursery.start_soon(self._boot, key)
+
+    async def _boot(self, key: tuple[str, bool]) -> None:
+        await trio.sleep(BOOT_SECONDS)
+        self.fill(key)
+
+    def fill(self, key: tuple[str, bool], count: int | None = None) -> None:
+        standing = self._standing.setdefault(key, [])
+        while len(standing) < (self._wanted.get(key, 0) if count is None else count):
+            self._number += 1
+            name = f"u{self._number}"
+            standing.append(name)
+            self._note(name, key)
+
+    async def reclaim(self, zone: str, seconds: float = 2.3) -> None:
+        """Announce the end of a zone's reclaimable upstreams, then end them."""
+        leaving = self._standing.pop((zone, True), [])
+        self._wanted.pop((zone, True), None)
+        for name in leaving:
+            self._note(name, (zone, True), sequence=2, is_leaving=True)
+        await trio.sleep(seconds)
+        for name in leaving:
+            self._book.note_gone(name)
+
+    def _note(self, name: str, key: tuple[str, bool], **facts) -> None:
+        zone, is_reclaimable = key
+        facts = {"sequence": 1, "is_reclaimable": is_reclaimable} | facts
+        self._book.note(Announcement(name, "model", f"{name}:80", zone, **facts))
+
+
+class World:
+    """One control host's ordering against the platform's model."""
+
+    def __init__(self, nursery: trio.Nursery):
+        self.timers = FakeTimers(random.Random(0))
+        self.book = UpstreamBook(self.timers.now)
+        self.platform = FakePlatform(self.book, nursery)
+        self.desk = FakeDesk()
+        self.agreement = FakeAgreementState()
+        tables = TableStore(decode_table)
+        services = [{"name": "plain"}, {"name": "model", "autoscale": SCALING}]
+        data = json.loads(document(1)) | {"services": services}
+        tables.take(1, json.dumps(data).encode())
+        self.ordering = Ordering(
+            Duty("c0", self.agreement, self.timers, 3.0),
+            self.platform,
+            tables,
+            self.desk,
+            self.book,
+            lambda: ZONES,
+            self.timers,
+        )
+        for zone in ZONES:
+            self.platform.fill((zone, False), 3)
+        nursery.start_soon(self.ordering.run)
+
+    async def watch(self, seconds: float) -> int:
+        """Return the least count of upstreams that stand in the next seconds."""
+        least = self.platform.count
+        for _ in range(int(seconds / 0.1)):
+            await trio.sleep(0.1)
+            least = min(least, self.platform.count)
+        return least
+
+
+async def test_reclaimable_ones_take_the_work_over(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        world = World(nursery)
+        world.desk.load = 20.0
+        assert await world.watch(12.0) >= 4
+        kinds = {each.is_reclaimable for each in world.book.working("model")}
+        assert kinds == {True}
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("is_dry", [False, True])
+@pytest.mark.parametrize("order", ["ab", "bc", "ca"])
+async def test_two_zones_in_a_row_leave_enough(autojump_clock, is_dry, order):
+    """The next zone is lost 6 s after the first, with the demand of all along."""
+    async with trio.open_nursery() as nursery:
+        world = World(nursery)
+        world.desk.load = 22.0
+        await trio.sleep(12.0)
+        world.platform.is_dry = is_dry
+        for zone in order:
+            nursery.start_soon(world.platform.reclaim, zone)
+            assert await world.watch(6.0) >= 22 / REQUESTS_EACH
+        assert await world.watch(8.0) >= 22 / REQUESTS_EACH
+        nursery.cancel_scope.cancel()
+
+
+async def test_demand_of_late_counts_when_a_zone_is_dry(autojump_clock):
+    """Work comes in waves, and the next zone may go in the next one."""
+    async with trio.open_nursery() as nursery:
+        world = World(nursery)
+        world.desk.load = 22.0
+        await trio.sleep(12.0)
+        world.desk.load = 8.0
+        await trio.sleep(2.0)
+        world.platform.is_dry = True
+        nursery.start_soon(world.platform.reclaim, "a")
+        await trio.sleep(6.0)
+        world.desk.load = 22.0
+        nursery.start_soon(world.platform.reclaim, "b")
+        assert await world.watch(4.0) >= 22 / REQUESTS_EACH
+        nursery.cancel_scope.cancel()
+
+
+async def test_new_holder_orders_soon(autojump_clock):
+    """The loss of a zone may come with that of the host that has ordered."""
+    async with trio.open_nursery() as nursery:
+        world = World(nursery)
+        world.agreement.is_leader = False
+        world.desk.load = 22.0
+        await trio.sleep(12.0)
+        assert world.platform.orders == []
+        world.desk.load = 8.0
+        world.agreement.term = 2
+        world.agreement.is_leader = True
+        await trio.sleep(2.6)
+        first, holder, fence = world.platform.orders[0]
+        assert (holder, fence) == ("c0", 2)
+        # Two hosts that take turns must leave a lease between one's own acts.
+        assert first >= 12.0 + 2 / 3 * 3.0
+        await trio.sleep(BOOT_SECONDS)
+        # Ordered for the peak that this host has seen before it was the holder.
+        reclaimable = [e for e in world.book.working("model") if e.is_reclaimable]
+        assert len(reclaimable) >= 9
+        nursery.cancel_scope.cancel()
--- a/tests/relaying/test_scaling.py
+++ b/tests/relaying/test_scaling.py
@@ -54,11 +54,18 @@
 
 
 def test_past_peak_keeps_reclaimable_ones_only():
-    counts = plan(Demand(peak=60, present=5), dry=("a",))
+    counts = plan(Demand(peak=60, present=5))
     assert sum(each.steady for each in counts.values()) == 0
     assert all(each.reclaimable == 6 for each in counts.values())
 
 
+def test_past_peak_is_made_up_for_as_far_as_the_next_loss_needs():
+    counts = plan(Demand(peak=60, present=5), dry=("a",))
+    standing_in_a, ordered_in_b = 3, 6
+    steady = sum(each.steady for each in counts.values())
+    assert steady == 60 / 5 - standing_in_a - ordered_in_b
+
+
 def test_two_open_zones_can_each_carry_the_peak():
     """The next zone leaves before upstreams that are ordered then have started."""
     counts = plan(Demand(peak=22, present=10), dry=("c",))
@@ -68,11 +75,23 @@
 
 
 def test_a_single_open_zone_is_backed_by_steady_ones_elsewhere():
-    counts = plan(Demand(peak=28, present=28), dry=("b", "c"))
+    counts = plan(Demand(peak=28, present=28), dry=("b", "c"), standing={"a": 3})
     assert counts["a"].reclaimable + counts["a"].steady == 6
     assert sum(each.steady for each in counts.values()) == 3
 
 
+def test_what_stands_in_dry_zones_is_counted_until_the_next_loss():
+    """No zone gives out more, and one has lost all that it had."""
+    standing = {"a": 3, "b": 3}
+    counts = plan(Demand(peak=25, present=10), dry=ZONES, standing=standing)
+    assert sum(each.steady for each in counts.values()) == 2
+
+
+def test_last_zone_that_stands_is_backed_by_steady_ones():
+    counts = plan(Demand(peak=20, present=20), dry=ZONES, standing={"a": 4})
+    assert sum(each.steady for each in counts.values()) == 2
+
+
 def test_without_reclaimable_ones_all_work_is_carried_by_steady_ones():
     counts = plan(Demand(peak=30, present=20), dry=ZONES, standing={})
     assert sum(each.steady for each in counts.values()) >= 4
