After a restart of all hosts quotas are taken for unspent

Cause: a host that starts takes its workspaces' bursts for spent, and a single request reserves seven times its cost. Change: control hosts keep the number of entry hosts beside table and upstreams. Once all of these have started anew together with a control host, nobody has spent meanwhile, and entry hosts are told so. The number also holds for shares until all are back. A host that starts alone begins with a quarter of its share of the burst. Ruled out: full shares for each start (98% of what is allowed in the worst window, with seven restarts; with a half of them 94%).

--- a/src/pepperstep/coordination/control_desk.py
+++ b/src/pepperstep/coordination/control_desk.py
@@ -29,6 +29,15 @@
 # Time after which a silent entry host isn't counted among those that share
 # quotas and budgets, in seconds: longer than any of their windows.
 _ENTRY_SHARE_SECONDS = 15.0
+# Time after a start for which as many entry hosts are counted as were known
+# before it, in seconds: they come back within it, and longer than a window of
+# quotas makes the few that don't unimportant.
+_EXPECT_SECONDS = 10.0
+# Time after a start in which it's found out that all hosts have started anew, and
+# by how much entry hosts may have started sooner, in seconds. Entry hosts start
+# half a second sooner than control hosts.
+_RESTART_SECONDS = 3.0
+_RESTART_SLACK_SECONDS = 1.0
 # Time after which its counts are dropped, in seconds: usage is due before.
 _ENTRY_FORGET_SECONDS = 60.0
 # Time for the other control hosts to take in a notice, in seconds. Upstreams
@@ -45,6 +54,8 @@
     report: EntryReport
     # Monotonic time of its latest report.
     heard_at: float
+    # Monotonic time of its start.
+    started_at: float
 
 
 class ControlDesk:
@@ -71,6 +82,9 @@
         self._entries: dict[tuple[str, int], EntryHost] = {}
         # Entry hosts that were in contact when that was last looked at.
         self._in_contact: set[str] = set()
+        # Entry hosts that were known before this host's start.
+        self._expected = 0
+        self._started_at = timers.now()
         self._news = trio.Event()
         book.subscribe(self._note_news)
         tables.subscribe(self._note_news)
@@ -82,7 +96,28 @@
         """Number of entry hosts that share what is allowed."""
         limit = self._timers.now() - _ENTRY_SHARE_SECONDS
         lives = self._newest_lives().values()
-        return sum(entry.heard_at >= limit for entry in lives)
+        heard = sum(entry.heard_at >= limit for entry in lives)
+        if self._timers.now() - self._started_at < _EXPECT_SECONDS:
+            return max(heard, self._expected)
+        return heard
+
+    @property
+    def has_all_restarted(self) -> bool:
+        """Whether all entry hosts known before this host's start have started anew.
+
+        Then nothing was admitted since the lives before ended.
+        """
+        if self._timers.now() - self._started_at > _RESTART_SECONDS:
+            return False
+        lives = self._newest_lives().values()
+        if not self._expected or len(lives) < self._expected:
+            return False
+        earliest = self._started_at - _RESTART_SLACK_SECONDS
+        return all(entry.started_at >= earliest for entry in lives)
+
+    def expect_entries(self, count: int) -> None:
+        """Count at least so many entry hosts in the next seconds."""
+        self._expected = count
 
     def ready_entries(self) -> list[EntryReport]:
         """Return the newest reports of entry hosts that callers may use."""
@@ -200,6 +235,7 @@
             registry_version=self._book.version,
             control_hosts=self._control_hosts(),
             entry_count=self.entry_count,
+            has_all_restarted=self.has_all_restarted,
             wall=self._timers.wall(),
         )
         if request.table_version < self._tables.current.version:
@@ -259,7 +295,8 @@
         heard_at = self._timers.now() - age
         known = self._entries.get(key)
         if known is None:
-            self._entries[key] = EntryHost(report, heard_at)
+            started_at = heard_at - report.uptime
+            self._entries[key] = EntryHost(report, heard_at, started_at)
             return
         admitted = _highest(known.report.admitted, report.admitted)
         windows = dict(known.report.windows)
@@ -277,6 +314,7 @@
             admitted=admitted,
             windows={number: windows[number] for number in newest},
             loads=source.loads,
+            uptime=source.uptime,
         )
         known.heard_at = max(known.heard_at, heard_at)
 
--- a/src/pepperstep/coordination/hints.py
+++ b/src/pepperstep/coordination/hints.py
@@ -3,12 +3,14 @@
 After a loss of power everywhere, an election takes two to three seconds, and
 upstreams announce themselves once in 1.2 s. An agreed table stays agreed, and
 upstreams that are gone are found out by the first request; so both are told
-from a file at once. Reads of the table never come from here.
+from a file at once. Reads of the table never come from here. The number of entry
+hosts is told too: the first that come back would each take a whole quota else.
 """
 
 from absl import logging
 from google.protobuf.message import DecodeError
 
+from pepperstep.coordination.control_desk import ControlDesk
 from pepperstep.coordination.records import Announcement
 from pepperstep.coordination.tables import TableStore
 from pepperstep.coordination.upstream_book import UpstreamBook
@@ -31,13 +33,15 @@
         storage: Storage,
         tables: TableStore,
         book: UpstreamBook,
+        desk: ControlDesk,
         timers: Timers,
     ):
         self._storage = storage
         self._tables = tables
         self._book = book
+        self._desk = desk
         self._timers = timers
-        self._written = (0, 0)
+        self._written = (0, 0, 0)
 
     async def load(self) -> None:
         """Take in what the file holds; a damaged one is left out."""
@@ -52,6 +56,7 @@
             return
         for message in hints.upstreams:
             self._book.note(Announcement.from_message(message))
+        self._desk.expect_entries(hints.entry_count)
         logging.info(
             "hints: Knows version %d and %d upstreams from before the start.",
             hints.table_version,
@@ -61,7 +66,11 @@
     async def run(self) -> None:
         """Write what changed until cancelled."""
         async for _ in self._timers.subscribe(_WRITE_SECONDS):
-            state = (self._tables.current.version, self._book.version)
+            state = (
+                self._tables.current.version,
+                self._book.version,
+                self._desk.entry_count,
+            )
             if state == self._written or not self._tables.is_known:
                 continue
             try:
@@ -78,5 +87,6 @@
             upstreams=[
                 each.to_message() for each in self._book.all() if not each.is_gone
             ],
+            entry_count=self._desk.entry_count,
         )
         return hints.SerializeToString()
--- a/src/pepperstep/coordination/records.py
+++ b/src/pepperstep/coordination/records.py
@@ -91,6 +91,8 @@
     windows: dict[int, dict[str, int]] = field(default_factory=dict)
     # Requests that upstreams work on, as a mean, by service.
     loads: dict[str, float] = field(default_factory=dict)
+    # Seconds since the start.
+    uptime: float = 0.0
 
     @classmethod
     def from_message(cls, message: pb.EntryState) -> "EntryReport":
@@ -107,6 +109,7 @@
             messages_to_counts(message.admitted),
             windows,
             {each.service: each.in_flight for each in message.loads},
+            message.uptime,
         )
 
     def to_message(self, age: float = 0.0) -> pb.EntryState:
@@ -127,6 +130,7 @@
                 pb.ServiceLoad(service=service, in_flight=load)
                 for service, load in sorted(self.loads.items())
             ],
+            uptime=self.uptime,
         )
 
 
--- a/src/pepperstep/coordination/sync.py
+++ b/src/pepperstep/coordination/sync.py
@@ -98,6 +98,9 @@
         self.entry_count = 1
         # Called with workspace and total, when the total has grown.
         self.on_admitted: Callable[[str, int], None] = lambda workspace, total: None
+        # Whether all hosts have started with this one, and what is called then.
+        self.knows_restart = False
+        self.on_restart: Callable[[], None] = lambda: None
         # Tells whether counts have to be new.
         self.is_hurried: Callable[[], bool] = lambda: False
         # Called with each answer and its age in seconds.
@@ -205,6 +208,10 @@
         # Before the table, whose quotas are shared by so many.
         self.entry_count = max(1, reply.entry_count)
         self._take_table(reply)
+        if reply.has_all_restarted and not self.knows_restart:
+            self.knows_restart = True
+            logging.info("sync: All hosts have started anew.")
+            self.on_restart()
         for message in reply.upstreams:
             self._book.note(Announcement.from_message(message), message.age + age)
         source.version = reply.registry_version
--- a/src/pepperstep/relay/quotas.py
+++ b/src/pepperstep/relay/quotas.py
@@ -21,6 +21,14 @@
 _DEMAND_SECONDS = 1.0
 # Part of the burst that all hosts may spend at once of their own parts.
 _OWN_PART = 0.5
+# Part of that which a host may spend when it starts. Hosts that all start at once
+# give out a quarter of a burst more. With seven restarts in 12 s under eight times
+# the demand, the worst window had 94% of what is allowed, and 98% with all of it.
+_START_PART = 0.5
+# Time in which no host admits anything when all start anew, in seconds: from the end
+# of their earlier lives to the first answer of a control host, 1.26 s at least as
+# traced in three runs of two deployments.
+_RESTART_SECONDS = 1.0
 # Part of the burst below which a workspace's counts have to be new on all hosts.
 _PRESSED_PART = 0.9
 # Part of the tolerated excess that is given out. Hosts that each keep to their
@@ -81,6 +89,15 @@
             if workspace.quota is not None and workspace.quota.rate > 0:
                 self._bucket(workspace.name, self._widen(workspace.quota))
 
+    def note_restart(self) -> None:
+        """Take in that all hosts have started anew, and none has spent meanwhile."""
+        for bucket in self._buckets.values():
+            quota = bucket.quota
+            self._fill(bucket)
+            back = _RESTART_SECONDS * quota.rate
+            bucket.level = min(quota.burst, bucket.level + back)
+            bucket.own_level = self._own_burst(quota)
+
     @property
     def is_pressed(self) -> bool:
         """Whether any workspace has spent a good part of its burst."""
@@ -138,7 +155,8 @@
         if bucket is None:
             # A host that starts doesn't know what the others have spent, and what
             # its own life before has.
-            bucket = _Bucket(quota, 0.0, 0.0, self._now())
+            level = _START_PART * self._own_burst(quota)
+            bucket = _Bucket(quota, level, level, self._now())
             self._buckets[workspace] = bucket
             return bucket
         self._fill(bucket)
--- a/src/pepperstep/relay_hosts.py
+++ b/src/pepperstep/relay_hosts.py
@@ -87,6 +87,7 @@
         self._settings = settings
         self._timers = ports.timers
         self._incarnation = int(ports.timers.wall() * 1000)
+        self._started_at = ports.timers.now()
         self._leaving_since: float | None = None
         now = ports.timers.now
         self.metrics = RelayMetrics()
@@ -140,6 +141,7 @@
         self._watch_gauges()
         self.tables.subscribe(self._quotas.watch)
         self.sync.on_admitted = self._quotas.note_elsewhere
+        self.sync.on_restart = self._quotas.note_restart
         self.sync.is_hurried = lambda: self._quotas.is_pressed
         self.book.subscribe(self._note_upstream)
 
@@ -183,6 +185,7 @@
             admitted=self._quotas.admitted(),
             windows=self._counts.windows(),
             loads=self._chooser.loads(),
+            uptime=self._timers.now() - self._started_at,
         )
 
     def _host_count(self) -> int:
@@ -246,7 +249,9 @@
             self.book,
         )
         self.sync.on_reply = self.desk.absorb
-        self._hints = Hints(ports.storage, self.tables, self.book, ports.timers)
+        self._hints = Hints(
+            ports.storage, self.tables, self.book, self.desk, ports.timers
+        )
         self._duty = Duty(
             settings.host, self.agreement, ports.timers, settings.bounds.duty_lease
         )
--- a/tests/relaying/test_coordination.py
+++ b/tests/relaying/test_coordination.py
@@ -130,6 +130,26 @@
         assert entry.is_ready
 
 
+@pytest.mark.parametrize("stays", [False, True])
+async def test_restart_of_all_hosts_is_found_out(autojump_clock, stays):
+    """One entry host that lives on may have spent of the quotas meanwhile."""
+    seeds = ("c0:1", "c1:1", "c2:1")
+    async with open_world(entries=3) as world:
+        await trio.sleep(2.0)
+        entries = ["e0:1", "e1:1"] if stays else ["e0:1", "e1:1", "e2:1"]
+        for name in (*seeds, *entries):
+            world.kill(name)
+        hosts = [await world.start_entry(name, seeds) for name in entries]
+        await trio.sleep(0.5)
+        for name in seeds:
+            await world.start_control(name, seeds, is_first=False)
+        await trio.sleep(0.2)
+        # What is allowed is shared by all, though not all have come back.
+        assert world.controls["c0:1"].desk.entry_count == 3
+        await trio.sleep(2.0)
+        assert {host.sync.knows_restart for host in hosts} == {not stays}
+
+
 async def test_lost_and_found_entry_hosts_are_logged(autojump_clock, monkeypatch):
     contacts = []
 
--- a/tests/relaying/test_quota_windows.py
+++ b/tests/relaying/test_quota_windows.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from pepperstep.entities.routes import Quota, Workspace
+from pepperstep.entities.routes import Quota, RouteTable, Workspace
 from pepperstep.relay.quotas import Quotas, QuotaTolerance
 
 WINDOW = 8.0
@@ -33,6 +33,16 @@
         self._told[host] = 0
         self.quotas[host] = self._new()
 
+    def restart_all(self) -> None:
+        """Start all hosts and control hosts anew, which hosts hear of at once."""
+        for host in range(len(self.quotas)):
+            self.restart(host)
+        self._ended = 0
+        table = RouteTable(1, workspaces=(WORKSPACE,))
+        for quotas in self.quotas:
+            quotas.watch(table)
+            quotas.note_restart()
+
     def exchange(self, host: int) -> None:
         """Tell a host's spending, and let it learn the others'."""
         quotas = self.quotas[host]
@@ -103,6 +113,51 @@
     assert most <= ALLOWED
 
 
+def play_restart(seed: int, times: float, count: int = 7) -> tuple[list, float]:
+    """Return what is admitted around a restart of all hosts, and what was asked.
+
+    The hosts are down between 12 and 13 s, and all is asked for at the same rate.
+    """
+    rng = random.Random(seed)
+    hosts = Hosts(count, rng)
+    dues = [rng.random() * 0.25 for _ in range(count)]
+    admitted = []
+    asked_after = 0.0
+    while hosts.now < 20.0:
+        pause = rng.expovariate(times * QUOTA.rate / 8_025)
+        is_before = hosts.now < 12.0
+        hosts.now += pause
+        if is_before and hosts.now >= 12.0:
+            hosts.now = 13.0
+            hosts.restart_all()
+            dues = [13.0 + rng.random() * 0.25 for _ in range(count)]
+        for host, due in enumerate(dues):
+            if due <= hosts.now:
+                hosts.exchange(host)
+                dues[host] = hosts.now + 0.25 * rng.uniform(0.9, 1.3)
+        cost = rng.choice((700, 2_400, 9_000, 20_000))
+        if 13.0 <= hosts.now < 15.0:
+            asked_after += cost
+        if hosts.quotas[rng.randrange(count)].admit(WORKSPACE, cost) == 0:
+            admitted.append((hosts.now, cost))
+    return admitted, asked_after
+
+
+@pytest.mark.parametrize("seed", range(12))
+@pytest.mark.parametrize("times", [2.0, 8.0])
+def test_restart_of_all_hosts_keeps_the_windows(seed, times):
+    admitted, _ = play_restart(seed, times)
+    assert most_in_a_window(admitted) <= ALLOWED
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_most_is_admitted_right_after_all_hosts_have_restarted(seed):
+    """Half of the rate is asked for; a part of it comes in bursts."""
+    admitted, asked = play_restart(seed, 0.5)
+    given = sum(cost for now, cost in admitted if 13.0 <= now < 15.0)
+    assert given >= 0.8 * asked
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_hot_workspace_gets_what_it_may(seed):
     admitted = play(seed, 4.0, 0)
