Refusals by quota log what they rest on, and their workspace

Cause: a request refused over a quota left neither the workspace nor any input in the log or the metrics, so why 427 requests of one workspace were refused in 12 s couldn't be told from it. Change: the request is matched with its route and workspace before it's admitted; a refusal logs cost, what is left, the reserve, the host's own part and the hosts.

--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -10,6 +10,7 @@
     "Decision",
     "DutyTaken",
     "EntryContact",
+    "QuotaExceeded",
     "RequestChosen",
     "RequestEnded",
     "RequestFailed",
@@ -66,6 +67,24 @@
     was_begun: bool = False
 
 
+class QuotaExceeded(Decision, tag="quota_exceeded"):
+    """A request is over its workspace's quota, as this host knows it.
+
+    All figures are in the quota's unit.
+    """
+
+    request: str
+    workspace: str
+    cost: float
+    # Left for all hosts together, and of this host's own part.
+    left: float
+    own_left: float
+    # Kept for what hosts spend before they know of each other's spending.
+    reserve: float
+    # Hosts that share the quota.
+    hosts: int
+
+
 class RequestEnded(Decision, tag="request_answered"):
     """A request got an upstream's answer."""
 
--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from pepperstep.coordination import Announcement, UpstreamBook
-from pepperstep.entities.routes import Route, Service
+from pepperstep.entities.routes import Route, Service, Workspace
 from pepperstep.ports import Timers
 from pepperstep.ports.exchange import (
     Answer,
@@ -54,7 +54,8 @@
     facts: RequestFacts
     route: Route
     service: Service
-    workspace: str
+    # Workspace that it belongs to, None on public routes.
+    owner: Workspace | None
     # 0 is the most urgent.
     priority: int
     # Monotonic time by which the caller must have its final answer.
@@ -83,6 +84,11 @@
     retry_after: float = 0.0
     events: EventSplitter = field(default_factory=EventSplitter)
 
+    @property
+    def workspace(self) -> str:
+        """Name of the workspace that it belongs to, "" on public routes."""
+        return "" if self.owner is None else self.owner.name
+
     @property
     def name(self) -> str:
         """The request's name in logs."""
--- a/src/pepperstep/relay/journal.py
+++ b/src/pepperstep/relay/journal.py
@@ -5,6 +5,7 @@
 from pepperstep.coordination import TableStore, UpstreamBook
 from pepperstep.errors import Execution, Failure
 from pepperstep.observability.decisions import (
+    QuotaExceeded,
     RequestChosen,
     RequestEnded,
     RequestFailed,
@@ -15,6 +16,7 @@
 from pepperstep.ports.exchange import Exchange
 from pepperstep.relay.attempt import Attempt
 from pepperstep.relay.choice import Choice
+from pepperstep.relay.quotas import QuotaState
 
 __all__ = ["RelayJournal"]
 
@@ -84,6 +86,19 @@
         )
         logging.info("relay: %s", event)
 
+    def note_over_quota(self, attempt: Attempt, cost: float, state: QuotaState) -> None:
+        """Note what a quota's refusal was decided by."""
+        event = QuotaExceeded(
+            request=attempt.name,
+            workspace=attempt.workspace,
+            cost=cost,
+            left=round(state.level),
+            own_left=round(state.own_level),
+            reserve=round(state.reserve),
+            hosts=state.hosts,
+        )
+        logging.info("relay: %s", event)
+
     def note_refused(
         self,
         exchange: Exchange,
--- a/src/pepperstep/relay/quotas.py
+++ b/src/pepperstep/relay/quotas.py
@@ -12,7 +12,7 @@
 
 from pepperstep.entities.routes import Quota, RouteTable, Workspace
 
-__all__ = ["QuotaTolerance", "Quotas"]
+__all__ = ["QuotaState", "QuotaTolerance", "Quotas"]
 
 # Time until a host's spending is known to all others, in seconds: a question, and
 # the next answer that another host gets, each up to 0.2 s late.
@@ -49,6 +49,19 @@
     allowance: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaState:
+    """What a decision on a workspace's quota rests on, in the quota's unit."""
+
+    # Left for all hosts together, and of this host's own part.
+    level: float
+    own_level: float
+    # Kept for what hosts spend before they know of each other's spending.
+    reserve: float
+    # Hosts that share the quota.
+    hosts: int
+
+
 @dataclass(slots=True)
 class _Bucket:
     """What a workspace may still spend: over all hosts, and on this one."""
@@ -125,6 +138,13 @@
         bucket.admitted += round(cost)
         return 0.0
 
+    def state_of(self, workspace: str) -> QuotaState:
+        """Return what the latest decision on a known workspace has rested on."""
+        bucket = self._buckets[workspace]
+        reserve = self._reserve(bucket)
+        hosts = self._host_count()
+        return QuotaState(bucket.level, bucket.own_level, reserve, hosts)
+
     def admitted(self) -> dict[str, int]:
         """Return all that this host has admitted, by workspace."""
         return {name: each.admitted for name, each in self._buckets.items()}
--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -76,7 +76,8 @@
         try:
             facts = self._wire.read_request(exchange.head)
             await self._wait_routes()
-            attempt = self._admit(exchange, facts)
+            attempt = self._find(exchange, facts)
+            self._admit(attempt)
             await self._run(attempt)
         except Failure as failure:
             name = facts.attempt_id.decode("latin-1")
@@ -102,8 +103,8 @@
                     return choice
         return None
 
-    def _admit(self, exchange: Exchange, facts: RequestFacts) -> Attempt:
-        """Return the request if it may run; raise `Failure` otherwise."""
+    def _find(self, exchange: Exchange, facts: RequestFacts) -> Attempt:
+        """Return the request with its route and workspace, or raise `Failure`."""
         table = self._tables.current
         if not self._tables.is_known:
             text = "This host knows no routes yet."
@@ -118,11 +119,6 @@
             workspace = table.find_workspace(facts.key)
             if workspace is None:
                 raise Failure(Code.UNAUTHORIZED, "The key isn't known.")
-        if route.is_stream and not self._takes_streams():
-            text = "This host is about to end."
-            raise Failure(Code.DRAINING, text, retry_after=0.0)
-        if workspace is not None:
-            self._spend(workspace, facts)
         wait = _LONGEST_SECONDS if facts.wait is None else facts.wait
         deadline = exchange.arrived_at + min(wait - _WAY_SECONDS, route.timeout)
         service = table.services[self._draw_service(route)]
@@ -131,16 +127,27 @@
             facts=facts,
             route=route,
             service=service,
-            workspace="" if workspace is None else workspace.name,
+            owner=workspace,
             priority=_priority_of(route, workspace),
             deadline=deadline,
         )
         attempt.note_failed = partial(self._journal.note_failed, attempt)
         return attempt
 
-    def _spend(self, workspace: Workspace, facts: RequestFacts) -> None:
-        wait = self._quotas.admit(workspace, cost_of(workspace, facts))
+    def _admit(self, attempt: Attempt) -> None:
+        """Raise `Failure` unless the request may run here and now."""
+        if attempt.route.is_stream and not self._takes_streams():
+            text = "This host is about to end."
+            raise Failure(Code.DRAINING, text, retry_after=0.0)
+        if attempt.owner is not None:
+            self._spend(attempt, attempt.owner)
+
+    def _spend(self, attempt: Attempt, workspace: Workspace) -> None:
+        cost = cost_of(workspace, attempt.facts)
+        wait = self._quotas.admit(workspace, cost)
         if wait > 0:
+            state = self._quotas.state_of(workspace.name)
+            self._journal.note_over_quota(attempt, cost, state)
             text = "The workspace is over its quota."
             raise Failure(Code.OVERLOADED, text, retry_after=wait)
 
--- a/tests/relaying/test_relay.py
+++ b/tests/relaying/test_relay.py
@@ -4,8 +4,10 @@
 
 import pytest
 import trio
+from absl import logging
 
 from pepperstep.fakes.relaying import FakeExchange, Reply
+from pepperstep.observability.decisions import QuotaExceeded, RequestRefused
 from pepperstep.ports.exchange import AnswerHead, CallerGone
 from tests.relaying.world import document, open_world, request
 
@@ -240,6 +242,27 @@
         assert 100 <= served <= 150
 
 
+async def test_refusal_by_quota_is_logged_with_its_inputs(autojump_clock, monkeypatch):
+    events = []
+    monkeypatch.setattr(
+        logging, "info", lambda text, *values: events.extend(values), raising=True
+    )
+    quota = {"rate_per_s": 1, "burst": 1}
+    tenants = [{"name": "desk", "api_keys": ["key-of-desk"], **quota}]
+    async with open_world() as world:
+        await serve(world, "plain", answers(b"chart"))
+        await world.put(2, document(2, tenants=tenants))
+        await trio.sleep(0.2)
+        exchange = await world.ask("e0:1", request("/safe/1"))
+        assert exchange.status == 429
+    [over] = [each for each in events if isinstance(each, QuotaExceeded)]
+    assert (over.request, over.workspace, over.cost) == ("id-1", "desk", 1.0)
+    assert over.left - over.reserve < 1.0
+    assert over.hosts == 2
+    [refused] = [each for each in events if isinstance(each, RequestRefused)]
+    assert refused.workspace == "desk"
+
+
 async def test_quota_of_the_largest_request_can_be_spent(autojump_clock):
     quota = {"rate_per_s": 1000, "burst": 1000, "unit": "token_stream"}
     tenants = [{"name": "desk", "api_keys": ["key-of-desk"], **quota}]
