--- a/src/pepperstep/coordination/upstream_book.py
+++ b/src/pepperstep/coordination/upstream_book.py
@@ -39,6 +39,8 @@
         self._now = now
         self._entries: dict[str, _Entry] = {}
         self._gone: OrderedDict[str, None] = OrderedDict()
+        # Those that take work, by service and then by id; each request asks for them.
+        self._working: dict[str, list[_Entry]] = {}
         self._subscribers: list[Subscriber] = []
         self._changed = trio.Event()
         self.version = 0
@@ -63,9 +65,17 @@
 
     def working(self, service: str) -> list[Announcement]:
         """Return the upstreams of `service` that take work, by id."""
-        return [
-            each for each in self.all() if each.service == service and each.takes_work
-        ]
+        entries = self._working.get(service)
+        if entries is None:
+            known = sorted(self._entries.items())
+            entries = [
+                entry
+                for _, entry in known
+                if entry.announcement.service == service
+                and entry.announcement.takes_work
+            ]
+            self._working[service] = entries
+        return [entry.announcement for entry in entries]
 
     async def wait_change(self) -> None:
         """Return at the next change."""
@@ -116,6 +126,7 @@
 
     def _put(self, announcement: Announcement, heard_at: float) -> None:
         self.version += 1
+        self._working.clear()
         self._entries[announcement.id] = _Entry(announcement, self.version, heard_at)
         if announcement.is_gone:
             self._remember_gone(announcement.id)
