The quota of a request that hasn't run is left to the next ones

Cause: a request refused for load, or for want of an upstream, had spent its workspace's quota, and spent it again when it came back. Change: its cost stays with the host for a second, and the next requests are admitted by it. Totals among hosts only grow, so it isn't taken off these. Test: three requests of half a burst each, none run, were refused as 503, 503, 429; now 503 each.

--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -60,6 +60,8 @@
     priority: int
     # Monotonic time by which the caller must have its final answer.
     deadline: float
+    # What it was admitted for, in the unit of its workspace's quota.
+    cost: float = 0.0
     tried: set[str] = field(default_factory=set)
     # Attempts that reached an upstream.
     sent: int = 0
--- a/src/pepperstep/relay/quotas.py
+++ b/src/pepperstep/relay/quotas.py
@@ -46,6 +46,9 @@
 # equal part refuse one caller while another host has room; the excess makes up
 # for it, and the rest of it covers counts that are late.
 _USED_TOLERANCE = 0.4
+# Time for which what was given back can be spent anew, in seconds: it counts to the
+# window in which it was spent first.
+_CREDIT_SECONDS = 1.0
 # Most seconds that a caller over its quota is told to wait.
 _MAX_WAIT_SECONDS = 5.0
 
@@ -87,6 +90,9 @@
     elsewhere: int | None = None
     # All that this host has admitted.
     admitted: int = 0
+    # Of this, what requests that haven't run have given back, and when.
+    credit: float = 0.0
+    credit_at: float = 0.0
 
 
 class Quotas:
@@ -140,6 +146,9 @@
         quota = self._widen(workspace.quota)
         bucket = self._bucket(workspace.name, quota)
         bucket.demand += cost / _DEMAND_SECONDS
+        if self._credit_of(bucket) >= cost:
+            bucket.credit -= cost
+            return 0.0
         has_reserve = self._is_in_contact() and bucket.level - cost >= self._reserve(
             bucket
         )
@@ -153,6 +162,16 @@
         bucket.admitted += round(cost)
         return 0.0
 
+    def give_back(self, workspace: Workspace, cost: float) -> None:
+        """Let the cost of an admitted request that hasn't run be spent by others.
+
+        Hosts tell each other totals that only grow, so it isn't taken off these.
+        """
+        bucket = self._buckets.get(workspace.name)
+        if bucket is not None:
+            bucket.credit = self._credit_of(bucket) + cost
+            bucket.credit_at = self._now()
+
     def state_of(self, workspace: str) -> QuotaState:
         """Return what the latest decision on a known workspace has rested on."""
         bucket = self._buckets[workspace]
@@ -211,6 +230,10 @@
         own = bucket.own_level + passed * self._own_rate(bucket)
         bucket.own_level = min(self._own_burst(quota), own)
 
+    def _credit_of(self, bucket: _Bucket) -> float:
+        is_old = self._now() - bucket.credit_at > _CREDIT_SECONDS
+        return 0.0 if is_old else bucket.credit
+
     def _own_rate(self, bucket: _Bucket) -> float:
         """Return what this host may spend a second of its own part."""
         equal = bucket.quota.rate / max(1, self._host_count())
--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -80,6 +80,7 @@
             self._admit(attempt)
             await self._run(attempt)
         except Failure as failure:
+            self._give_back(attempt)
             name = facts.attempt_id.decode("latin-1")
             self._journal.note_refused(exchange, name, failure, attempt)
             await self._fail(exchange, failure, facts.attempt_id)
@@ -150,6 +151,14 @@
             self._journal.note_over_quota(attempt, cost, state)
             text = "The workspace is over its quota."
             raise Failure(Code.OVERLOADED, text, retry_after=wait)
+        attempt.cost = cost
+
+    def _give_back(self, attempt: Attempt | None) -> None:
+        """Return the quota of a request that no upstream has run."""
+        if attempt is None or attempt.owner is None or attempt.has_run:
+            return
+        if attempt.cost and not attempt.is_under_way:
+            self._quotas.give_back(attempt.owner, attempt.cost)
 
     def _draw_service(self, route: Route) -> str:
         if len(route.shares) == 1:
--- a/tests/relaying/test_relay.py
+++ b/tests/relaying/test_relay.py
@@ -263,6 +263,20 @@
     assert refused.workspace == "desk"
 
 
+async def test_quota_of_a_request_that_has_not_run_is_left_to_others(autojump_clock):
+    quota = {"rate_per_s": 10, "burst": 100, "unit": "token_stream"}
+    tenants = [{"name": "desk", "api_keys": ["key-of-desk"], **quota}]
+    tokens = (b"pepperstep-token-counts", b"40,10")
+    async with open_world(entries=1) as world:
+        await world.put(2, document(2, tenants=tenants))
+        await trio.sleep(10.0)
+        statuses = []
+        for path in ("/safe/1", "/safe/1", "/safe/1"):
+            exchange = await world.ask("e0:1", request(path, tokens))
+            statuses.append(exchange.status)
+        assert statuses == [503, 503, 503]
+
+
 async def test_quota_of_the_largest_request_can_be_spent(autojump_clock):
     quota = {"rate_per_s": 1000, "burst": 1000, "unit": "token_stream"}
     tenants = [{"name": "desk", "api_keys": ["key-of-desk"], **quota}]
