Quotas among many hosts: one request isn't taken for a demand at all of them

Cause: the reserve was a host's own demand times the hosts. And when demand jumps, every host spent a whole request of its part, however small the part. Change: the reserve is what the others are known to spend and this host's own demand, or the demand at all hosts beyond half a request, whichever is more. Hosts whose parts are smaller than a request begin at different times. Ruled out: stopping all parts once nothing is left (they fill up meanwhile and are spent at once: twice what is allowed); a whole request and two (102 to 107% of what is allowed at four times the quota). Measured, model, 64 hosts: at 0.8 of the quota 78% -> 83% admitted (100,000 tokens a second); worst window at 2.5 times the quota 93% of what is allowed, at 4 times 107% (72,000 a second): a small workspace of many hosts may still break its quota when its demand jumps so far; open. 7 hosts as before.

--- a/src/pepperstep/relay/quotas.py
+++ b/src/pepperstep/relay/quotas.py
@@ -23,6 +23,14 @@
 _LAG_SECONDS = 0.4
 # Time over which a workspace's demand is averaged, in seconds.
 _DEMAND_SECONDS = 1.0
+# Weight of each request in the mean cost.
+_COST_WEIGHT = 0.1
+# Part of one request that a host's demand must exceed before it's taken for the
+# demand at all hosts: a single one of many hosts' requests tells nothing. With 64
+# hosts and 0.8 of the quota asked for, 83% of it was admitted, and 78% without (model,
+# 100,000 tokens a second); with a whole request 87%, but then a workspace at four
+# times its quota got 2% more than is allowed.
+_CHANCE_PART = 0.5
 # Part of the burst that all hosts may spend at once of their own parts.
 _OWN_PART = 0.5
 # What a host's part of the rate grows to while the whole burst is left; with half of
@@ -86,8 +94,12 @@
     filled_at: float
     # Cost asked for a second, as a mean that forgets exponentially.
     demand: float = 0.0
-    # Latest total of what the others have admitted.
+    # Mean cost of its requests, as they were asked for here.
+    usual_cost: float = 0.0
+    # Latest total of what the others have admitted, and their spending a second, as
+    # a mean that forgets exponentially.
     elsewhere: int | None = None
+    others_rate: float = 0.0
     # All that this host has admitted.
     admitted: int = 0
     # Of this, what requests that haven't run have given back, and when.
@@ -104,9 +116,12 @@
         now: Callable[[], float],
         tolerance: QuotaTolerance | None = None,
         is_in_contact: Callable[[], bool] = lambda: True,
+        phase: float = 0.0,
     ):
+        """Keep quotas; `phase`, from 0 to 1, differs between hosts."""
         self._host_count = host_count
         self._is_in_contact = is_in_contact
+        self._phase = phase
         self._now = now
         self._tolerance = tolerance or QuotaTolerance()
         self._buckets: dict[str, _Bucket] = {}
@@ -146,13 +161,17 @@
         quota = self._widen(workspace.quota)
         bucket = self._bucket(workspace.name, quota)
         bucket.demand += cost / _DEMAND_SECONDS
+        usual = bucket.usual_cost or cost
+        bucket.usual_cost = usual + _COST_WEIGHT * (cost - usual)
         if self._credit_of(bucket) >= cost:
             bucket.credit -= cost
             return 0.0
         has_reserve = self._is_in_contact() and bucket.level - cost >= self._reserve(
             bucket
         )
-        if not has_reserve and bucket.own_level < min(cost, self._own_burst(quota)):
+        if has_reserve:
+            self._spread_parts(bucket)
+        elif bucket.own_level < min(cost, self._own_burst(quota)):
             missing = min(cost, self._own_burst(quota)) - bucket.own_level
             wait = missing / self._own_rate(bucket)
             return min(wait, _MAX_WAIT_SECONDS)
@@ -192,6 +211,7 @@
             self._fill(bucket)
             spent = total - bucket.elsewhere
             bucket.level = max(-bucket.quota.burst, bucket.level - spent)
+            bucket.others_rate += spent / _DEMAND_SECONDS
         bucket.elsewhere = max(total, bucket.elsewhere or 0)
 
     def _widen(self, quota: Quota) -> Quota:
@@ -225,11 +245,23 @@
         passed = now - bucket.filled_at
         bucket.filled_at = now
         quota = bucket.quota
-        bucket.demand *= math.exp(-passed / _DEMAND_SECONDS)
+        kept = math.exp(-passed / _DEMAND_SECONDS)
+        bucket.demand *= kept
+        bucket.others_rate *= kept
         bucket.level = min(quota.burst, bucket.level + passed * quota.rate)
         own = bucket.own_level + passed * self._own_rate(bucket)
         bucket.own_level = min(self._own_burst(quota), own)
 
+    def _spread_parts(self, bucket: _Bucket) -> None:
+        """Let hosts whose parts are smaller than a request begin at other times.
+
+        A host may spend more at once than its part and waits afterwards. When a
+        workspace's demand jumps, all of many hosts would do so at once.
+        """
+        part = self._own_burst(bucket.quota)
+        behind = self._phase * max(0.0, bucket.usual_cost - part)
+        bucket.own_level = min(bucket.own_level, part - behind)
+
     def _credit_of(self, bucket: _Bucket) -> float:
         is_old = self._now() - bucket.credit_at > _CREDIT_SECONDS
         return 0.0 if is_old else bucket.credit
@@ -248,5 +280,7 @@
 
     def _reserve(self, bucket: _Bucket) -> float:
         """Return what all hosts may spend before they know of each other's."""
-        spending = bucket.demand * max(1, self._host_count())
+        chance = _CHANCE_PART * bucket.usual_cost / _DEMAND_SECONDS
+        alike = max(0.0, bucket.demand - chance) * max(1, self._host_count())
+        spending = max(bucket.others_rate + bucket.demand, alike)
         return min(bucket.quota.burst, spending * _LAG_SECONDS)
--- a/src/pepperstep/relay_hosts.py
+++ b/src/pepperstep/relay_hosts.py
@@ -108,7 +108,9 @@
         bounds = settings.bounds
         self._pools = Pools(ports.connector, self._host_count, now)
         tolerance = QuotaTolerance(bounds.quota_overage, bounds.quota_allowance)
-        self._quotas = Quotas(self._host_count, now, tolerance, self._is_in_contact)
+        self._quotas = Quotas(
+            self._host_count, now, tolerance, self._is_in_contact, ports.rng.random()
+        )
         self._counts = RunCounts(bounds.usage_window, self._true_time)
         self._chooser = Chooser(
             self.book, self._pools, settings.zone, self._host_count, now, ports.rng
--- a/tests/relaying/test_quota_windows.py
+++ b/tests/relaying/test_quota_windows.py
@@ -25,6 +25,7 @@
         # Hosts that hear and tell nothing, and those that know so by now.
         self.cut: set[int] = set()
         self.alone: set[int] = set()
+        self._count = count
         self.quotas = [self._new(host) for host in range(count)]
         # What ended lives have admitted, as control hosts remember it.
         self._ended = 0
@@ -41,11 +42,15 @@
         for host in range(len(self.quotas)):
             self.restart(host)
         self._ended = 0
-        table = RouteTable(1, workspaces=(WORKSPACE,))
+        self.watch()
         for quotas in self.quotas:
-            quotas.watch(table)
             quotas.note_restart()
 
+    def watch(self) -> None:
+        """Let all hosts know the workspace before its first request."""
+        for quotas in self.quotas:
+            quotas.watch(RouteTable(1, workspaces=(WORKSPACE,)))
+
     def exchange(self, host: int) -> None:
         """Tell a host's spending, and let it learn the others'."""
         if host in self.cut:
@@ -56,12 +61,12 @@
         quotas.note_elsewhere("desk", total)
 
     def _new(self, host: int) -> Quotas:
-        count = 7
         return Quotas(
-            lambda: count,
+            lambda: self._count,
             lambda: self.now,
             TOLERANCE,
             lambda: host not in self.alone,
+            phase=(host + 0.5) / self._count,
         )
 
 
@@ -83,6 +88,9 @@
     """
     rng = random.Random(seed)
     hosts = Hosts(count, rng)
+    if count > 7:
+        # Few hosts know a workspace from its requests soon.
+        hosts.watch()
     events: list[tuple[float, int, str, int]] = []
     for host in range(count):
         heapq.heappush(events, (rng.random() * 0.25, host, "exchange", host))
@@ -187,6 +195,20 @@
     assert most_in_a_window(play(seed, times, cut=cut)) <= ALLOWED
 
 
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("times", [1.5, 2.5])
+def test_many_hosts_keep_the_windows(seed, times):
+    assert most_in_a_window(play(seed, times, count=64)) <= ALLOWED
+
+
+def test_many_hosts_admit_what_is_asked_for():
+    """Half of the quota is asked for, a few requests a second at each host."""
+    runs = [play(seed, 0.5, count=64) for seed in range(12)]
+    given = sum(cost for run in runs for now, cost in run if 7 <= now < 15)
+    # Of what is asked for; some requests are larger than all hosts' usual parts.
+    assert given / len(runs) >= 0.75 * 0.5 * QUOTA.rate * 8
+
+
 @pytest.mark.parametrize("gone", [0, 2, 3])
 def test_parts_of_hosts_that_are_gone_are_given_out(gone):
     """Hosts count for some seconds after they have ended, and get no requests."""
