Steady upstreams make up for refused orders in the same round

Change: where a zone is dry, only what stands or was given out counts. Reclaimable ones are ordered first, and the steady ones by a plan that knows the answers. Test: three zones in 6 s, the work of 8 upstreams ordered as soon as the last one goes.

--- a/src/pepperstep/coordination/ordering.py
+++ b/src/pepperstep/coordination/ordering.py
@@ -124,26 +124,35 @@
         if now - self._started_at < _LEARN_SECONDS:
             return
         state = self._states.setdefault(service.name, _ServiceState())
-        standing = self._standing(service.name)
-        if not standing and now - self._started_at < _EMPTY_SECONDS:
+        standing = self._standing(service.name, bounds)
+        is_empty = not any(each.steady + each.reclaimable for each in standing.values())
+        if is_empty and now - self._started_at < _EMPTY_SECONDS:
             return
+        plan = self._plan(state, demand, bounds, standing)
+        await self._order(service.name, plan, standing, holder, state, True)
+        # Steady ones make up for what was refused just now.
+        plan = self._plan(state, demand, bounds, standing)
+        await self._order(service.name, plan, standing, holder, state, False)
+        self._note_plan(state, plan, standing)
+
+    def _plan(
+        self,
+        state: _ServiceState,
+        demand: Demand,
+        bounds: ScalingBounds,
+        standing: dict[str, ZoneCounts],
+    ) -> dict[str, ZoneCounts]:
+        now = self._timers.now()
         dry = frozenset(
             zone
             for zone, end in state.dry_until.items()
             if end + _DRY_SLACK_SECONDS > now
         )
-        zones = tuple(bounds.zone_prices) or self._zones()
-        zones = tuple(zone for zone in zones if zone in self._zones())
-        by_zone = {
-            zone: ZoneCounts(
-                standing.get((zone, False), 0), standing.get((zone, True), 0)
-            )
-            for zone in zones
+        coming = {
+            zone: self._coming(state, (zone, True), counts.reclaimable)
+            for zone, counts in standing.items()
         }
-        plan = plan_counts(demand, bounds, zones, dry, by_zone)
-        self._note_plan(state, plan, standing)
-        for zone, counts in plan.items():
-            await self._order_zone(service.name, zone, counts, standing, holder, state)
+        return plan_counts(demand, bounds, tuple(standing), dry, standing, coming)
 
     def _note_demand(self, service: str, now: float) -> Demand:
         present = upstreams_for(self._desk.work_of(service))
@@ -153,42 +162,47 @@
             demands.popleft()
         return Demand(max(load for _, load in demands), present)
 
-    def _standing(self, service: str) -> dict[tuple[str, bool], int]:
-        """Return the upstreams that take work by zone and kind."""
-        counts: dict[tuple[str, bool], int] = {}
+    def _standing(self, service: str, bounds: ScalingBounds) -> dict[str, ZoneCounts]:
+        """Return the upstreams that take work, by the zones that may have some."""
+        present = self._zones()
+        zones = tuple(bounds.zone_prices) or present
+        counts = {(zone, kind): 0 for zone in zones for kind in (True, False)}
         for each in self._book.working(service):
             key = (each.zone, each.is_reclaimable)
             counts[key] = counts.get(key, 0) + 1
-        return counts
+        return {
+            zone: ZoneCounts(counts[zone, False], counts[zone, True])
+            for zone in zones
+            if zone in present
+        }
 
     def _note_plan(
         self,
         state: _ServiceState,
         plan: dict[str, ZoneCounts],
-        standing: dict[tuple[str, bool], int],
+        standing: dict[str, ZoneCounts],
     ) -> None:
         if plan != state.plan:
             state.plan = plan
             logging.info("orders: The plan is %s, standing %s.", plan, standing)
 
-    async def _order_zone(
+    async def _order(
         self,
         service: str,
-        zone: str,
-        counts: ZoneCounts,
-        standing: dict[tuple[str, bool], int],
+        plan: dict[str, ZoneCounts],
+        standing: dict[str, ZoneCounts],
         holder: Holder,
         state: _ServiceState,
+        is_reclaimable: bool,
     ) -> None:
-        wanted = {True: counts.reclaimable, False: counts.steady}
-        for is_reclaimable, count in wanted.items():
+        """Order one kind of upstreams in all zones where that is due."""
+        for zone, counts in plan.items():
             key = (zone, is_reclaimable)
-            has = standing.get(key, 0)
-            count = self._damp(state, key, count, has)
-            if not self._is_due(state, key, count, has):
-                continue
-            order = UpstreamOrder(service, zone, is_reclaimable, count)
-            await self._send(order, holder, state)
+            has = standing[zone].of(is_reclaimable)
+            count = self._damp(state, key, counts.of(is_reclaimable), has)
+            if self._is_due(state, key, count, has):
+                order = UpstreamOrder(service, zone, is_reclaimable, count)
+                await self._send(order, holder, state)
 
     def _damp(
         self, state: _ServiceState, key: tuple[str, bool], count: int, has: int
@@ -200,9 +214,7 @@
         """
         _, is_reclaimable = key
         now = self._timers.now()
-        wish = state.wishes.get(key)
-        if wish is not None and wish.is_taken and now - wish.sent_at < _REPEAT_SECONDS:
-            has = max(has, wish.count)
+        has = self._coming(state, key, has)
         if count >= has:
             state.lower_since.pop(key, None)
             return count
@@ -210,6 +222,14 @@
         patience = _SHRINK_SECONDS if is_reclaimable else _SHRINK_STEADY_SECONDS
         return count if now - since >= patience else has
 
+    def _coming(self, state: _ServiceState, key: tuple[str, bool], has: int) -> int:
+        """Return how many stand, or were ordered and have yet to start."""
+        wish = state.wishes.get(key)
+        if wish is None or not wish.is_taken:
+            return has
+        is_young = self._timers.now() - wish.sent_at < _REPEAT_SECONDS
+        return max(has, wish.count) if is_young else has
+
     def _is_due(
         self, state: _ServiceState, key: tuple[str, bool], count: int, has: int
     ) -> bool:
--- a/src/pepperstep/coordination/scaling.py
+++ b/src/pepperstep/coordination/scaling.py
@@ -53,6 +53,10 @@
     steady: int = 0
     reclaimable: int = 0
 
+    def of(self, is_reclaimable: bool) -> int:
+        """Return the count of one kind."""
+        return self.reclaimable if is_reclaimable else self.steady
+
 
 def upstreams_for(work: ServiceWork) -> float:
     """Return how many upstreams a service's work needs."""
@@ -65,10 +69,13 @@
     zones: tuple[str, ...],
     dry: frozenset[str],
     standing: Mapping[str, ZoneCounts],
+    coming: Mapping[str, int],
 ) -> dict[str, ZoneCounts]:
     """Return what each zone shall have.
 
-    Zones of `dry` give out no reclaimable upstreams, beside what stands there.
+    `coming` has the reclaimable upstreams that stand, or were ordered and start.
+    Zones of `dry` give out no others. Where one does, none is counted on that
+    wasn't given out yet.
     Once there are any, the next zone may be lost soon, so all but the largest
     have enough for the peak. An upstream takes longer to start than a zone's
     upstreams take to leave, so this is ordered as soon as a zone is dry, and not
@@ -88,10 +95,7 @@
     reclaimable = dict.fromkeys(zones, count)
     lacking = _still_lacking(needed, standing)
     if dry:
-        carried = [
-            standing[zone].reclaimable if zone in dry else reclaimable[zone]
-            for zone in zones
-        ]
+        carried = [coming[zone] for zone in zones]
         lacking = max(lacking, _lacking_for_next_loss(needed, carried))
     else:
         lacking = max(lacking, needed_now - sum(reclaimable.values()))
--- a/tests/relaying/test_ordering.py
+++ b/tests/relaying/test_ordering.py
@@ -164,6 +164,20 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_three_zones_in_a_row_are_made_up_for_at_once(autojump_clock):
+    """As soon as the last one leaves, all the work is ordered, and not by and by."""
+    async with trio.open_nursery() as nursery:
+        world = World(nursery)
+        world.desk.load = 40.0
+        await trio.sleep(12.0)
+        world.platform.is_dry = True
+        for zone, pause in (("a", 4.0), ("b", 2.0), ("c", 1.1 + BOOT_SECONDS)):
+            nursery.start_soon(world.platform.reclaim, zone)
+            await trio.sleep(pause)
+        assert world.platform.count >= 40 / REQUESTS_EACH
+        nursery.cancel_scope.cancel()
+
+
 async def test_demand_of_late_counts_when_a_zone_is_dry(autojump_clock):
     """Work comes in waves, and the next zone may go in the next one."""
     async with trio.open_nursery() as nursery:
