--- a/proofs/__main__.py
+++ b/proofs/__main__.py
@@ -14,7 +14,7 @@
 from proofs.mechanisms import MECHANISMS, POINTS, Cut, Mechanism
 
 _ROOT = Path(__file__).parent.parent
-_COPIED = ("src", "tests", "standins", "deploy", "pyproject.toml")
+_COPIED = ("src", "tests", "standins", "deploy", "measure", "pyproject.toml")
 _LONGEST_SECONDS = 120.0
 # Lines of pytest and trio that say what failed.
 _SAID = re.compile(
--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -7,6 +7,9 @@
 _RELAY = "tests/relaying/test_relay.py::"
 _COORDINATION = "tests/relaying/test_coordination.py::"
 _GROUP = "tests/relaying/test_group.py::"
+_ORDERING = "tests/relaying/test_ordering.py::"
+_PLACEMENT = "tests/relaying/test_placement.py::"
+_QUOTAS = "tests/relaying/test_quota_windows.py::"
 
 RELAY_MECHANISMS = (
     Mechanism(
@@ -131,12 +134,73 @@
         8,
         "a reserve of the quota for what hosts don't know yet",
         "relay/quotas.py",
-        "has_reserve = bucket.level - cost >= self._reserve(bucket)",
-        "has_reserve = bucket.level - cost >= 0",
-        (
-            "tests/relaying/test_quota_windows.py::"
-            "test_no_window_has_more_than_is_allowed",
-        ),
+        "bucket.level - cost >= self._reserve(bucket)",
+        "bucket.level - cost >= 0",
+        (f"{_QUOTAS}test_no_window_has_more_than_is_allowed",),
+    ),
+    Mechanism(
+        8,
+        "a host without contact keeps to a fraction of its part",
+        "relay/quotas.py",
+        "            return _ALONE_PART * equal\n",
+        "            return equal\n",
+        (f"{_QUOTAS}test_hosts_without_contact_keep_the_windows",),
+    ),
+    Mechanism(
+        8,
+        "a host's part grows with what is left",
+        "relay/quotas.py",
+        "return equal * max(1.0, _MOST_GROWTH * left)",
+        "return equal",
+        (f"{_QUOTAS}test_parts_of_hosts_that_are_gone_are_given_out",),
+    ),
+    Mechanism(
+        8,
+        "quotas are whole after a restart of all hosts",
+        "relay/quotas.py",
+        "            bucket.level = min(quota.burst, bucket.level + back)\n",
+        "",
+        (f"{_QUOTAS}test_most_is_admitted_right_after_all_hosts_have_restarted",),
+    ),
+    Mechanism(
+        9,
+        "prompts go to the host's own least work",
+        "relay/choice.py",
+        "hosts * self._prompts.unread_of(upstream.id)",
+        "0 * hosts",
+        (f"{_PLACEMENT}test_prompts_come_in_time",),
+    ),
+    Mechanism(
+        9,
+        "hosts rank upstreams alike by a prompt's shared part",
+        "relay/choice.py",
+        "+ _RANK_SHARE * shared * rank",
+        "",
+        (f"{_PLACEMENT}test_hosts_send_a_parts_prompts_to_few_engines",),
+    ),
+    Mechanism(
+        9,
+        "steady upstreams are ordered ahead of the next zone's loss",
+        "coordination/scaling.py",
+        "lacking = max(lacking, _lacking_for_next_loss(needed, carried))",
+        "lacking = max(lacking, needed_now - sum(carried))",
+        (f"{_ORDERING}test_two_zones_in_a_row_leave_enough",),
+    ),
+    Mechanism(
+        9,
+        "a service without upstreams is ordered some",
+        "coordination/ordering.py",
+        "if is_empty and now - self._started_at < _EMPTY_SECONDS:",
+        "if is_empty:",
+        (f"{_ORDERING}test_steady_ones_stay_until_reclaimable_ones_stand_again",),
+    ),
+    Mechanism(
+        7,
+        "hosts that start ask often",
+        "coordination/sync.py",
+        "if is_reached or self._timers.now() < eager_until:",
+        "if is_reached:",
+        (f"{_COORDINATION}test_entry_host_soon_finds_control_hosts_that_start_later",),
     ),
     Mechanism(
         8,
--- a/src/pepperstep/coordination/sync.py
+++ b/src/pepperstep/coordination/sync.py
@@ -1,13 +1,16 @@
 """Rounds in which a host asks the control hosts for all that is new.
 
 Each control host is asked by a task of its own. A host takes part only if it
-can be reached; what was learned stays when none can.
+can be reached; what was learned stays when none can. Control hosts ask all others.
+An entry host asks a few, which tell it what the others know; so the questions to
+one control host don't grow with the number of control hosts.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
+import xxhash
 from absl import logging
 
 from pepperstep.coordination.records import Announcement, EntryReport
@@ -47,6 +50,12 @@
     reach: float = 2.0
     # Time until a control host that starts has heard of all entry hosts.
     settling: float = 1.5
+    # Control hosts that an entry host asks. Any two entry hosts have one in common
+    # among five control hosts, and 95 in 100 pairs among six; the other pairs hear
+    # of each other half a second later.
+    fanout: int = 3
+    # Between looks whether a control host that isn't asked is needed.
+    idle_pause: float = 0.2
 
 
 @dataclass(slots=True)
@@ -62,6 +71,8 @@
     # Time from which its totals are whole: a host that starts hears of the
     # entry hosts' counts one after the other.
     settled_at: float = float("inf")
+    # Whether the latest question had no answer.
+    is_failing: bool = False
     # Question that is under way.
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     # Its Unix time less this host's.
@@ -168,7 +179,12 @@
         backoff = self._settings.first_backoff
         eager_until = self._timers.now() + self._settings.eager
         while name in self._wanted:
+            if not self._is_asked(name):
+                with self._timers.move_on_after(self._settings.idle_pause):
+                    await self._wake.wait()
+                continue
             is_reached = await self._ask(name, source)
+            source.is_failing = not is_reached
             if is_reached != was_reached:
                 text = "answers" if is_reached else "doesn't answer"
                 logging.info("sync: Control host %s %s.", name, text)
@@ -181,6 +197,22 @@
                 backoff = self._settings.first_backoff
         del self._sources[name]
 
+    def _is_asked(self, name: str) -> bool:
+        """Whether this host asks a control host, or leaves it to others.
+
+        Each host ranks them by hashes of its own, so that all are asked alike. One
+        that doesn't answer is asked on, and the next one besides.
+        """
+        if self._report is None:
+            return True
+        ranked = sorted(self._wanted, key=self._rank)
+        before = ranked[: ranked.index(name)]
+        answering = sum(not self._sources[each].is_failing for each in before)
+        return answering < self._settings.fanout
+
+    def _rank(self, name: str) -> int:
+        return xxhash.xxh64_intdigest(f"{self._name}/{name}".encode())
+
     async def _ask(self, name: str, source: _Source) -> bool:
         wait = self._settings.short_wait if self.is_hurried() else self._settings.wait
         request = pb.SyncRequest(
--- a/src/pepperstep/relay/quotas.py
+++ b/src/pepperstep/relay/quotas.py
@@ -160,15 +160,11 @@
             return 0.0
         quota = self._widen(workspace.quota)
         bucket = self._bucket(workspace.name, quota)
-        bucket.demand += cost / _DEMAND_SECONDS
-        usual = bucket.usual_cost or cost
-        bucket.usual_cost = usual + _COST_WEIGHT * (cost - usual)
+        self._note_demand(bucket, cost)
         if self._credit_of(bucket) >= cost:
             bucket.credit -= cost
             return 0.0
-        has_reserve = self._is_in_contact() and bucket.level - cost >= self._reserve(
-            bucket
-        )
+        has_reserve = self._has_reserve(bucket, cost)
         if has_reserve:
             self._spread_parts(bucket)
         elif bucket.own_level < min(cost, self._own_burst(quota)):
@@ -262,6 +258,17 @@
         behind = self._phase * max(0.0, bucket.usual_cost - part)
         bucket.own_level = min(bucket.own_level, part - behind)
 
+    def _note_demand(self, bucket: _Bucket, cost: float) -> None:
+        bucket.demand += cost / _DEMAND_SECONDS
+        usual = bucket.usual_cost or cost
+        bucket.usual_cost = usual + _COST_WEIGHT * (cost - usual)
+
+    def _has_reserve(self, bucket: _Bucket, cost: float) -> bool:
+        """Whether enough is left whatever the others spend unheard of."""
+        if not self._is_in_contact():
+            return False
+        return bucket.level - cost >= self._reserve(bucket)
+
     def _credit_of(self, bucket: _Bucket) -> float:
         is_old = self._now() - bucket.credit_at > _CREDIT_SECONDS
         return 0.0 if is_old else bucket.credit
--- a/tests/relaying/test_coordination.py
+++ b/tests/relaying/test_coordination.py
@@ -130,6 +130,38 @@
         assert entry.is_ready
 
 
+async def test_entry_hosts_ask_a_few_control_hosts(autojump_clock):
+    async with open_world(controls=6, entries=4) as world:
+        await trio.sleep(3.0)
+        for entry in world.entries.values():
+            assert len(entry.sync.reached) == 3
+        asked = {name for host in world.entries.values() for name in host.sync.reached}
+        assert len(asked) >= 5
+        # What one control host hears is known to all entry hosts soon.
+        await world.put(2)
+        await world.announce("c5:1", "u1", "plain")
+        await trio.sleep(0.3)
+        for entry in world.entries.values():
+            assert entry.tables.current.version == 2
+            assert [each.id for each in entry.book.working("plain")] == ["u1"]
+        assert {host.desk.entry_count for host in world.controls.values()} == {4}
+
+
+async def test_next_control_host_is_asked_for_one_that_is_gone(autojump_clock):
+    async with open_world(controls=5, entries=1) as world:
+        await trio.sleep(3.0)
+        entry = world.entries["e0:1"]
+        gone = entry.sync.reached[0]
+        world.kill(gone)
+        await trio.sleep(4.0)
+        assert gone not in entry.sync.reached
+        assert len(entry.sync.reached) == 3
+        seeds = ("c0:1", "c1:1", "c2:1")
+        await world.start_control(gone, seeds, is_first=False)
+        await trio.sleep(4.0)
+        assert len(entry.sync.reached) == 3
+
+
 @pytest.mark.parametrize("stays", [False, True])
 async def test_restart_of_all_hosts_is_found_out(autojump_clock, stays):
     """One entry host that lives on may have spent of the quotas meanwhile."""
