Steady upstreams that a full zone has no room for go to the others; plans are logged

The plan's line didn't say what was needed. Change: they are spread one by one over the zones with room. A typed event tells what the work needs, what each zone shall have and has, and which give out none. Ruled out: that a third zone 1.5 s after the second could be made up for; upstreams take 4 s to start, and callers are refused at once meanwhile. Test: 4 were planned where 6 are lacking; now 6.

--- a/src/pepperstep/coordination/ordering.py
+++ b/src/pepperstep/coordination/ordering.py
@@ -18,6 +18,7 @@
 from pepperstep.coordination.upstream_book import UpstreamBook
 from pepperstep.entities.routes import ScalingBounds, Service
 from pepperstep.errors import Code, Failure
+from pepperstep.observability.decisions import UpstreamsPlanned, ZonePlan
 from pepperstep.ports import Timers
 from pepperstep.ports.orders import UpstreamOrder, UpstreamOrders
 
@@ -133,7 +134,7 @@
         # Steady ones make up for what was refused just now.
         plan = self._plan(state, demand, bounds, standing)
         await self._order(service.name, plan, standing, holder, state, False)
-        self._note_plan(state, plan, standing)
+        self._note_plan(service.name, state, plan, standing, demand)
 
     def _plan(
         self,
@@ -142,18 +143,22 @@
         bounds: ScalingBounds,
         standing: dict[str, ZoneCounts],
     ) -> dict[str, ZoneCounts]:
-        now = self._timers.now()
-        dry = frozenset(
-            zone
-            for zone, end in state.dry_until.items()
-            if end + _DRY_SLACK_SECONDS > now
-        )
+        dry = self._dry(state)
         coming = {
             zone: self._coming(state, (zone, True), counts.reclaimable)
             for zone, counts in standing.items()
         }
         return plan_counts(demand, bounds, tuple(standing), dry, standing, coming)
 
+    def _dry(self, state: _ServiceState) -> frozenset[str]:
+        """Return the zones that give out no reclaimable upstreams."""
+        now = self._timers.now()
+        return frozenset(
+            zone
+            for zone, end in state.dry_until.items()
+            if end + _DRY_SLACK_SECONDS > now
+        )
+
     def _note_demand(self, service: str, now: float) -> Demand:
         present = upstreams_for(self._desk.work_of(service))
         demands = self._demands.setdefault(service, deque())
@@ -178,13 +183,31 @@
 
     def _note_plan(
         self,
+        service: str,
         state: _ServiceState,
         plan: dict[str, ZoneCounts],
         standing: dict[str, ZoneCounts],
+        demand: Demand,
     ) -> None:
-        if plan != state.plan:
-            state.plan = plan
-            logging.info("orders: The plan is %s, standing %s.", plan, standing)
+        if plan == state.plan:
+            return
+        state.plan = plan
+        dry = self._dry(state)
+        zones = [
+            ZonePlan(
+                zone,
+                counts.steady,
+                counts.reclaimable,
+                standing[zone].steady,
+                standing[zone].reclaimable,
+                zone in dry,
+            )
+            for zone, counts in plan.items()
+        ]
+        event = UpstreamsPlanned(
+            service, round(demand.peak, 1), round(demand.present, 1), zones
+        )
+        logging.info("orders: %s", event)
 
     async def _order(
         self,
--- a/src/pepperstep/coordination/scaling.py
+++ b/src/pepperstep/coordination/scaling.py
@@ -125,18 +125,20 @@
     reclaimable: Mapping[str, int],
     standing: Mapping[str, ZoneCounts],
 ) -> dict[str, ZoneCounts]:
-    """Spread steady upstreams over the zones, the cheapest ones first."""
-    counts = {}
-    share = math.ceil(lacking / len(zones))
-    for zone in sorted(zones, key=lambda name: (_price(bounds, name), name)):
-        steady = max(0, bounds.min_count - reclaimable[zone])
-        if lacking > 0:
-            present = standing[zone].reclaimable
-            steady = min(max(steady, share), bounds.max_count - present)
-            lacking -= steady
-        room = bounds.max_count - steady
-        counts[zone] = ZoneCounts(steady, min(reclaimable[zone], room))
-    return counts
+    """Spread steady upstreams over the zones that have room, the cheapest first."""
+    by_price = sorted(zones, key=lambda name: (_price(bounds, name), name))
+    rooms = {zone: bounds.max_count - standing[zone].reclaimable for zone in zones}
+    steady = {zone: max(0, bounds.min_count - reclaimable[zone]) for zone in by_price}
+    lacking = min(lacking, sum(rooms.values())) - sum(steady.values())
+    while lacking > 0:
+        for zone in by_price:
+            if lacking > 0 and steady[zone] < rooms[zone]:
+                steady[zone] += 1
+                lacking -= 1
+    return {
+        zone: ZoneCounts(count, min(reclaimable[zone], bounds.max_count - count))
+        for zone, count in steady.items()
+    }
 
 
 def _price(bounds: ScalingBounds, zone: str) -> float:
--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -16,6 +16,8 @@
     "RequestFailed",
     "RequestRefused",
     "TableInForce",
+    "UpstreamsPlanned",
+    "ZonePlan",
 ]
 
 
@@ -113,6 +115,28 @@
     fence: int
 
 
+class ZonePlan(msgspec.Struct, frozen=True):
+    """Upstreams that a zone shall have, and those that stand there."""
+
+    zone: str
+    steady: int
+    reclaimable: int
+    steady_standing: int
+    reclaimable_standing: int
+    # Whether it gives out no reclaimable ones now.
+    is_dry: bool
+
+
+class UpstreamsPlanned(Decision, tag="upstreams_planned"):
+    """What a service's zones shall have has changed."""
+
+    service: str
+    # Upstreams that the work needs, at the most of late and at present.
+    needed_at_peak: float
+    needed_now: float
+    zones: list[ZonePlan]
+
+
 class EntryContact(Decision, tag="entry_contact"):
     """An entry host was lost or found by a control host."""
 
--- a/tests/relaying/test_ordering.py
+++ b/tests/relaying/test_ordering.py
@@ -5,12 +5,14 @@
 
 import pytest
 import trio
+from absl import logging
 
 from pepperstep.coordination import Announcement, ServiceWork, TableStore, UpstreamBook
 from pepperstep.coordination.duty import Duty
 from pepperstep.coordination.ordering import Ordering
 from pepperstep.errors import Code, Failure
 from pepperstep.fakes import FakeTimers
+from pepperstep.observability.decisions import UpstreamsPlanned
 from pepperstep.platform import decode_table
 from tests.relaying.world import document
 
@@ -212,6 +214,20 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_plan_is_logged_with_what_is_needed(autojump_clock, monkeypatch):
+    events = []
+    monkeypatch.setattr(logging, "info", lambda text, *values: events.extend(values))
+    async with trio.open_nursery() as nursery:
+        world = World(nursery)
+        world.desk.load = 20.0
+        await trio.sleep(3.0)
+        nursery.cancel_scope.cancel()
+    planned = [each for each in events if isinstance(each, UpstreamsPlanned)]
+    assert planned[0].needed_at_peak == 4.0
+    assert {zone.zone for zone in planned[0].zones} == set(ZONES)
+    assert {zone.steady_standing for zone in planned[0].zones} == {3}
+
+
 async def test_new_holder_orders_soon(autojump_clock):
     """The loss of a zone may come with that of the host that has ordered."""
     async with trio.open_nursery() as nursery:
--- a/tests/relaying/test_scaling.py
+++ b/tests/relaying/test_scaling.py
@@ -145,3 +145,10 @@
     assert {zone: each.reclaimable for zone, each in dry.items()} == {
         zone: each.reclaimable for zone, each in partly.items()
     }
+
+
+def test_other_zones_make_up_for_one_without_room():
+    """The zone that stands is full, and may be the next that's lost."""
+    counts = plan(requests(peak=60, present=60), dry=ZONES, standing={"a": 6})
+    assert counts["a"].steady == 0
+    assert counts["b"].steady + counts["c"].steady == 60 / REQUESTS_EACH - 6
