--- a/src/pepperstep/relay/quotas.py
+++ b/src/pepperstep/relay/quotas.py
@@ -28,8 +28,8 @@
 # Part of one request that a host's demand must exceed before it's taken for the
 # demand at all hosts: a single one of many hosts' requests tells nothing. With 64
 # hosts and 0.8 of the quota asked for, 83% of it was admitted, and 78% without (model,
-# 100,000 tokens a second); with a whole request 87%, but then a workspace at four
-# times its quota got 2% more than is allowed.
+# 100,000 tokens a second); with a whole request and a reserve half as large again 87%,
+# but then a workspace at four times its quota got 2% more than is allowed.
 _CHANCE_PART = 0.5
 # Part of the burst that all hosts may spend at once of their own parts.
 _OWN_PART = 0.5
