--- a/tests/relaying/test_ordering.py
+++ b/tests/relaying/test_ordering.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from contextlib import asynccontextmanager
 
 import pytest
 import trio
@@ -109,6 +110,7 @@
     """One control host's ordering against the platform's model."""
 
     def __init__(self, nursery: trio.Nursery):
+        self._nursery = nursery
         self.timers = FakeTimers(random.Random(0))
         self.book = UpstreamBook(self.timers.now)
         self.platform = FakePlatform(self.book, nursery)
@@ -131,6 +133,10 @@
             self.platform.fill((zone, False), 3)
         nursery.start_soon(self.ordering.run)
 
+    def reclaim(self, zone: str) -> None:
+        """Let the platform take a zone's reclaimable upstreams back."""
+        self._nursery.start_soon(self.platform.reclaim, zone)
+
     async def watch(self, seconds: float) -> int:
         """Return the least count of upstreams that stand in the next seconds."""
         least = self.platform.count
@@ -140,88 +146,84 @@
         return least
 
 
-async def test_reclaimable_ones_take_the_work_over(autojump_clock):
+@asynccontextmanager
+async def start_world():
+    """Give one control host that orders for a service with three steady upstreams."""
     async with trio.open_nursery() as nursery:
-        world = World(nursery)
+        yield World(nursery)
+        nursery.cancel_scope.cancel()
+
+
+async def test_reclaimable_ones_take_the_work_over(autojump_clock):
+    async with start_world() as world:
         world.desk.load = 20.0
         assert await world.watch(12.0) >= 4
         kinds = {each.is_reclaimable for each in world.book.working("model")}
         assert kinds == {True}
-        nursery.cancel_scope.cancel()
 
 
 @pytest.mark.parametrize("is_dry", [False, True])
 @pytest.mark.parametrize("order", ["ab", "bc", "ca"])
 async def test_two_zones_in_a_row_leave_enough(autojump_clock, is_dry, order):
     """The next zone is lost 6 s after the first, with the demand of all along."""
-    async with trio.open_nursery() as nursery:
-        world = World(nursery)
+    async with start_world() as world:
         world.desk.load = 22.0
         await trio.sleep(12.0)
         world.platform.is_dry = is_dry
         for zone in order:
-            nursery.start_soon(world.platform.reclaim, zone)
+            world.reclaim(zone)
             assert await world.watch(6.0) >= 22 / REQUESTS_EACH
         assert await world.watch(8.0) >= 22 / REQUESTS_EACH
-        nursery.cancel_scope.cancel()
 
 
 async def test_three_zones_in_a_row_are_made_up_for_at_once(autojump_clock):
     """As soon as the last one leaves, all the work is ordered, and not by and by."""
-    async with trio.open_nursery() as nursery:
-        world = World(nursery)
+    async with start_world() as world:
         world.desk.load = 40.0
         await trio.sleep(12.0)
         world.platform.is_dry = True
         for zone, pause in (("a", 4.0), ("b", 2.0), ("c", 1.1 + BOOT_SECONDS)):
-            nursery.start_soon(world.platform.reclaim, zone)
+            world.reclaim(zone)
             await trio.sleep(pause)
         assert world.platform.count >= 40 / REQUESTS_EACH
-        nursery.cancel_scope.cancel()
 
 
 async def test_demand_of_late_counts_when_a_zone_is_dry(autojump_clock):
     """Work comes in waves, and the next zone may go in the next one."""
-    async with trio.open_nursery() as nursery:
-        world = World(nursery)
+    async with start_world() as world:
         world.desk.load = 22.0
         await trio.sleep(12.0)
         world.desk.load = 8.0
         await trio.sleep(2.0)
         world.platform.is_dry = True
-        nursery.start_soon(world.platform.reclaim, "a")
+        world.reclaim("a")
         await trio.sleep(6.0)
         world.desk.load = 22.0
-        nursery.start_soon(world.platform.reclaim, "b")
+        world.reclaim("b")
         assert await world.watch(4.0) >= 22 / REQUESTS_EACH
-        nursery.cancel_scope.cancel()
 
 
 async def test_steady_ones_stay_until_reclaimable_ones_stand_again(autojump_clock):
     """When zones give out some again, the work may just be low for a moment."""
-    async with trio.open_nursery() as nursery:
-        world = World(nursery)
+    async with start_world() as world:
         world.desk.load = 40.0
         await trio.sleep(12.0)
         world.platform.is_dry = True
         for zone in ZONES:
-            nursery.start_soon(world.platform.reclaim, zone)
+            world.reclaim(zone)
         await trio.sleep(10.0)
         assert world.platform.count >= 40 / REQUESTS_EACH
         world.platform.is_dry = False
         world.desk.load = 10.0
         assert await world.watch(8.0) >= 40 / REQUESTS_EACH
-        nursery.cancel_scope.cancel()
 
 
 async def test_plan_is_logged_with_what_is_needed(autojump_clock, monkeypatch):
     events = []
     monkeypatch.setattr(logging, "info", lambda text, *values: events.extend(values))
-    async with trio.open_nursery() as nursery:
-        world = World(nursery)
+    async with start_world() as world:
         world.desk.load = 20.0
         await trio.sleep(3.0)
-        nursery.cancel_scope.cancel()
     planned = [each for each in events if isinstance(each, UpstreamsPlanned)]
     assert planned[0].needed_at_peak == 4.0
     assert {zone.zone for zone in planned[0].zones} == set(ZONES)
@@ -230,8 +232,7 @@
 
 async def test_new_holder_orders_soon(autojump_clock):
     """The loss of a zone may come with that of the host that has ordered."""
-    async with trio.open_nursery() as nursery:
-        world = World(nursery)
+    async with start_world() as world:
         world.agreement.is_leader = False
         world.desk.load = 22.0
         await trio.sleep(12.0)
@@ -248,4 +249,3 @@
         # Ordered for the peak that this host has seen before it was the holder.
         reclaimable = [e for e in world.book.working("model") if e.is_reclaimable]
         assert len(reclaimable) >= 9
-        nursery.cancel_scope.cancel()
