pepperstep logs: a request's way through the log files of several hosts

Cause: following an id over hosts was a one-liner of grep and sort, and what happened to its upstreams around that time took a second search by hand.

--- a/src/pepperstep/cli/help.py
+++ b/src/pepperstep/cli/help.py
@@ -94,6 +94,13 @@
         "\nhost. That host is asked, and the others that took part.",
         ("pepperstep explain entry-1.chatcmpl-5be1f0c2a7d94e6b8c31f0aa",),
     ),
+    "logs": (
+        "logs REQUEST_ID FILE...",
+        "Print what log files of several hosts tell of a request.",
+        "In time order, with what else they tell of its upstreams around that time."
+        "\nNo server is asked.",
+        ("pepperstep logs 9711f788dc1a03e9 entry-*.log control-*.log",),
+    ),
 }
 
 
