--- a/tests/relaying/test_coordination.py
+++ b/tests/relaying/test_coordination.py
@@ -117,16 +117,19 @@
         assert [each.id for each in entry.book.working("plain")] == ["u1"]
 
 
-async def test_entry_host_soon_finds_control_hosts_that_start_later(autojump_clock):
+@pytest.mark.parametrize(("later", "found_in"), [(0.6, 0.25), (2.0, 0.4)])
+async def test_entry_host_soon_finds_control_hosts_that_start_later(
+    autojump_clock, later, found_in
+):
     seeds = ("c0:1", "c1:1", "c2:1")
     async with open_world() as world:
         for name in (*seeds, "e0:1"):
             world.kill(name)
         entry = await world.start_entry("e0:1", seeds)
-        await trio.sleep(0.6)
+        await trio.sleep(later)
         for name in seeds:
             await world.start_control(name, seeds, is_first=False)
-        await trio.sleep(0.25)
+        await trio.sleep(found_in)
         assert entry.is_ready
 
 
