Upstreams that start again under their id; heartbeats of other writers are refused

Cause: the book of upstreams took an id for one start. After a restart under the same id, announcements with lower numbers were ignored, what entry hosts believed it keeps stayed, and requests that waited for its answer waited on. A heartbeat with a missing or foreign field could name an upstream, or move a known one to another service.

Change: announcements carry the time of the upstream's start. A later start replaces all that was known of the earlier one: kept prompts, loads, pauses, connections; requests under way there fail at once and are tried again where they may. Local state is kept by id and start. The border checks each field, and a service that no table names; a start in the far future is refused, as it would hide the real one.

Ruled out: an id made of both on the wire between hosts, which a late heartbeat without a start could not be matched to.

--- a/src/pepperstep/adapters/http1/client.py
+++ b/src/pepperstep/adapters/http1/client.py
@@ -119,7 +119,7 @@
         return not protocol.trailing_data[0] and self._is_quiet()
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; a task that uses it gets a `ConnectionFault`."""
         self._is_broken = True
         self._sock.close()
 
@@ -132,7 +132,7 @@
     async def _send_now(self) -> None:
         try:
             sent = await self._sock.send(self._rest)
-        except OSError as error:
+        except (OSError, trio.ClosedResourceError) as error:
             raise self._fault(f"not sent: {error!r}") from error
         self._rest = self._rest[sent:]
 
@@ -140,7 +140,7 @@
         while self._rest:
             try:
                 sent = await self._sock.send(self._rest)
-            except OSError:
+            except (OSError, trio.ClosedResourceError):
                 # Its answer, or the lack of one, tells more than this error.
                 return
             self._rest = self._rest[sent:]
@@ -164,7 +164,7 @@
                 self._protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise self._fault(f"no valid answer: {error}") from error
-        except OSError as error:
+        except (OSError, trio.ClosedResourceError) as error:
             raise self._fault(f"the connection broke: {error!r}") from error
 
     def _fault(self, text: str) -> ConnectionFault:
--- a/src/pepperstep/coordination/__init__.py
+++ b/src/pepperstep/coordination/__init__.py
@@ -3,7 +3,12 @@
 from pepperstep.coordination.control_desk import ControlDesk
 from pepperstep.coordination.duty import Duty
 from pepperstep.coordination.ordering import Ordering
-from pepperstep.coordination.records import Announcement, EntryReport, ServiceWork
+from pepperstep.coordination.records import (
+    Announcement,
+    EntryReport,
+    ServiceWork,
+    UpstreamKey,
+)
 from pepperstep.coordination.sync import Sync, SyncSettings
 from pepperstep.coordination.tables import (
     TABLE_MACHINE,
@@ -28,6 +33,7 @@
     "TableMachine",
     "TableStore",
     "UpstreamBook",
+    "UpstreamKey",
     "UsageMachine",
     "UsageReporter",
     "propose_table",
--- a/src/pepperstep/coordination/control_desk.py
+++ b/src/pepperstep/coordination/control_desk.py
@@ -44,6 +44,10 @@
 # Time for the other control hosts to take in a notice, in seconds. Upstreams
 # wait one second for their answer.
 _NOTICE_SECONDS = 0.6
+# How far an upstream's clock may be ahead of this host's, in seconds: clocks jump by
+# an hour in tests of them. A start that's told to be later than this would hide all
+# that its upstream says of itself afterwards.
+_MAX_CLOCK_SKEW_SECONDS = 86_400.0
 # Windows of the accounting that are kept for each entry host.
 _KEPT_WINDOWS = 12
 
@@ -169,26 +173,47 @@
         """Take in what an upstream says of itself.
 
         That it leaves must outlive this host: then another control host has
-        to know it before this returns. Raise `Failure` with `NO_QUORUM` else.
+        to know it before this returns. Raise `Failure` with `NO_QUORUM` else, and
+        with `INVALID_REQUEST` for what can't be an upstream's own words.
         """
+        self._check(announcement)
         before = self._book.get(announcement.id)
-        is_news = before is None or before.takes_work
         self._book.note(announcement)
-        if is_news and not announcement.takes_work:
-            logging.info(
-                "desk: Upstream %s of %s leaves, by its announcement %d.",
-                announcement.id,
-                announcement.service,
-                announcement.sequence,
-            )
-            await self._tell_others(self._book.get(announcement.id))
+        now = self._book.get(announcement.id)
+        if not now.takes_work and (before is None or now != before):
+            is_news = before is None or before.takes_work or now.key != before.key
+            if is_news:
+                await self._tell_leaving(now)
+
+    def _check(self, announcement: Announcement) -> None:
+        """Raise `Failure` for an announcement that another writer must have made."""
+        now = self._timers.wall()
+        if announcement.incarnation / 1000 > now + _MAX_CLOCK_SKEW_SECONDS:
+            raise Failure(Code.INVALID_REQUEST, "The upstream starts in the future.")
+        if not self._tables.is_known or self._book.get(announcement.id) is not None:
+            return
+        if announcement.service not in self._tables.current.services:
+            text = f"There is no service {announcement.service!r}."
+            raise Failure(Code.INVALID_REQUEST, text)
+
+    async def _tell_leaving(self, upstream: Announcement) -> None:
+        logging.info(
+            "desk: Upstream %s of %s leaves, by its announcement %d.",
+            upstream.id,
+            upstream.service,
+            upstream.sequence,
+        )
+        await self._tell_others(upstream)
 
-    async def note_gone(self, upstream: str) -> None:
-        """Take in that an upstream ends; raise as `note_announcement` does."""
+    async def note_gone(self, upstream: str, incarnation: int | None = None) -> None:
+        """Take in that an upstream ends; raise as `note_announcement` does.
+
+        Without an incarnation, it's the latest that is known.
+        """
         known = self._book.get(upstream)
         if known is not None and known.is_gone:
             return
-        self._book.note_gone(upstream)
+        self._book.note_gone(upstream, incarnation)
         await self._tell_others(self._book.get(upstream))
 
     def absorb(self, reply: pb.SyncReply, age: float) -> None:
--- a/src/pepperstep/coordination/records.py
+++ b/src/pepperstep/coordination/records.py
@@ -9,16 +9,20 @@
     "Announcement",
     "EntryReport",
     "ServiceWork",
+    "UpstreamKey",
     "counts_to_messages",
     "messages_to_counts",
 ]
 
+# An upstream's id and incarnation.
+UpstreamKey = tuple[str, int]
+
 
 @dataclass(frozen=True, slots=True)
 class Announcement:
     """The latest that is known of one start of an upstream."""
 
-    # Drawn anew at each start of the upstream.
+    # An upstream may have the same one again after a restart.
     id: str
     service: str
     # host:port of its HTTP interface.
@@ -26,7 +30,7 @@
     zone: str
     # Requests that it runs at the same time.
     slots: int = 0
-    # Number of the announcement; a lower one is older.
+    # Number of the announcement within its incarnation; a lower one is older.
     sequence: int = 0
     is_leaving: bool = False
     is_gone: bool = False
@@ -38,6 +42,14 @@
     warmup: float = 0.0
     # Version of its software.
     software: str = ""
+    # Unix time of its start in milliseconds, 0 if it doesn't say. A higher one is a
+    # later start, which holds nothing of what the one before held.
+    incarnation: int = 0
+
+    @property
+    def key(self) -> UpstreamKey:
+        """What tells this start of the upstream from all others."""
+        return self.id, self.incarnation
 
     @property
     def takes_work(self) -> bool:
@@ -60,6 +72,7 @@
             leaves_in=message.leaves_in,
             warmup=message.warmup,
             software=message.software,
+            incarnation=message.incarnation,
         )
 
     def to_message(self, age: float = 0.0) -> pb.AnnouncedUpstream:
@@ -78,6 +91,7 @@
             warmup=self.warmup,
             age=age,
             software=self.software,
+            incarnation=self.incarnation,
         )
 
 
--- a/src/pepperstep/coordination/upstream_book.py
+++ b/src/pepperstep/coordination/upstream_book.py
@@ -1,8 +1,10 @@
 """All upstreams that a host knows of, with the order in which they changed.
 
 Announcements come over any control host, late, doubled and out of order. What
-is known of one upstream only moves forward: a higher sequence replaces a lower
-one, and `is_leaving` and `is_gone` stay.
+is known of one upstream only moves forward: a higher incarnation replaces a lower
+one with all that was known of it, and within one a higher sequence a lower one,
+while `is_leaving` and `is_gone` stay. An upstream's service doesn't change within
+an incarnation: an announcement that says so is somebody else's.
 """
 
 from collections import OrderedDict
@@ -10,6 +12,7 @@
 from dataclasses import dataclass, replace
 
 import trio
+from absl import logging
 
 from pepperstep.coordination.records import Announcement
 
@@ -20,6 +23,7 @@
 # 8,192 of these in 49 minutes; announcements are late by seconds.
 _MAX_GONE = 8_192
 
+# Called with what is known of an upstream.
 Subscriber = Callable[[Announcement], None]
 
 
@@ -42,6 +46,7 @@
         # Those that take work, by service and then by id; each request asks for them.
         self._working: dict[str, list[_Entry]] = {}
         self._subscribers: list[Subscriber] = []
+        self._restart_subscribers: list[Subscriber] = []
         self._changed = trio.Event()
         self.version = 0
 
@@ -49,6 +54,10 @@
         """Call `subscriber` with each announcement that changes something."""
         self._subscribers.append(subscriber)
 
+    def subscribe_restarts(self, subscriber: Subscriber) -> None:
+        """Call `subscriber` with what was known of an upstream that started again."""
+        self._restart_subscribers.append(subscriber)
+
     def get(self, upstream: str) -> Announcement | None:
         """Return what is known of an upstream, None if nothing is."""
         entry = self._entries.get(upstream)
@@ -97,6 +106,11 @@
         if known is None:
             self._put(announcement, heard_at)
             return True
+        if announcement.incarnation > known.announcement.incarnation:
+            self._restart(known.announcement, announcement, heard_at)
+            return True
+        if _is_foreign(known.announcement, announcement):
+            return False
         known.heard_at = max(known.heard_at, heard_at)
         merged = _merge(known.announcement, announcement)
         if _says_the_same(merged, known.announcement):
@@ -110,12 +124,16 @@
         for announcement, age in announcements:
             self.note(announcement, age)
 
-    def note_gone(self, upstream: str) -> None:
-        """Take in that an upstream is gone, known or not."""
+    def note_gone(self, upstream: str, incarnation: int | None = None) -> None:
+        """Take in that an upstream is gone, known or not.
+
+        Without an incarnation, it's the latest that is known.
+        """
         known = self.get(upstream)
         if known is None:
             known = Announcement(upstream, service="", address="", zone="")
-        self.note(replace(known, is_gone=True))
+        if incarnation is None or incarnation == known.incarnation:
+            self.note(replace(known, is_gone=True))
 
     def forget_silent(self, seconds: float) -> None:
         """Count upstreams as gone that were silent for longer."""
@@ -124,6 +142,21 @@
             if entry.heard_at < limit and not entry.announcement.is_gone:
                 self.note_gone(entry.announcement.id)
 
+    def _restart(
+        self, before: Announcement, announcement: Announcement, heard_at: float
+    ) -> None:
+        """Take in an upstream's later start, and drop what was known before."""
+        logging.info(
+            "book: Upstream %s has started again, incarnation %d after %d.",
+            announcement.id,
+            announcement.incarnation,
+            before.incarnation,
+        )
+        self._gone.pop(announcement.id, None)
+        self._put(announcement, heard_at)
+        for subscriber in self._restart_subscribers:
+            subscriber(before)
+
     def _put(self, announcement: Announcement, heard_at: float) -> None:
         self.version += 1
         self._working.clear()
@@ -142,6 +175,14 @@
             self._entries.pop(oldest, None)
 
 
+def _is_foreign(known: Announcement, heard: Announcement) -> bool:
+    """Whether an announcement isn't of the incarnation and service that are known."""
+    if heard.incarnation < known.incarnation:
+        return True
+    has_both = bool(known.service and heard.service)
+    return has_both and heard.service != known.service
+
+
 def _merge(known: Announcement, heard: Announcement) -> Announcement:
     newer = heard if heard.sequence > known.sequence else known
     if not newer.address:
--- a/src/pepperstep/fakes/relaying.py
+++ b/src/pepperstep/fakes/relaying.py
@@ -73,7 +73,7 @@
         self._address = address
         self._reply = Reply()
         self._is_whole = True
-        self._is_closed = False
+        self._closed = trio.Event()
         self.idle_since = trio.current_time()
 
     async def send(self, head: RequestHead, body: bytes) -> AnswerHead:
@@ -85,7 +85,7 @@
         if script is None:
             raise ConnectionFault("reset", True)
         self._reply = script(sent)
-        await trio.sleep(self._reply.delay)
+        await self._wait(self._reply.delay)
         if self._reply.stray is not None:
             return self._reply.stray
         return self._own_head()
@@ -93,7 +93,7 @@
     async def pieces(self) -> AsyncIterator[bytes]:
         """Yield the answer's body."""
         for piece in self._reply.pieces:
-            await trio.sleep(self._reply.pause)
+            await self._wait(self._reply.pause)
             yield piece
         if self._reply.breaks:
             raise ConnectionFault("broke off", True)
@@ -106,14 +106,19 @@
 
     def is_reusable(self) -> bool:
         """Whether another request may be sent."""
-        return self._is_whole and not self._is_closed
+        return self._is_whole and not self._closed.is_set()
 
     def close(self) -> None:
         """Close the connection."""
-        if not self._is_closed:
-            self._is_closed = True
+        if not self._closed.is_set():
+            self._closed.set()
             self._connector.closed += 1
 
+    async def _wait(self, seconds: float) -> None:
+        with trio.move_on_after(seconds):
+            await self._closed.wait()
+            raise ConnectionFault("closed meanwhile", True)
+
     def _own_head(self) -> AnswerHead:
         if self._reply.head is None:
             raise ConnectionFault("closed without an answer", True)
--- a/src/pepperstep/platform/calls.py
+++ b/src/pepperstep/platform/calls.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Annotated, Literal, Protocol, TypeVar
 from urllib.parse import parse_qs
 
 import msgspec
@@ -35,29 +35,47 @@
     async def note_announcement(self, announcement: Announcement) -> None:
         """Take in what an upstream says of itself."""
 
-    async def note_gone(self, upstream: str) -> None:
-        """Take in that an upstream ends."""
+    async def note_gone(self, upstream: str, incarnation: int | None) -> None:
+        """Take in that an upstream ends, in the latest incarnation for None."""
 
     def entry_addresses(self, zone: str) -> list[str]:
         """Return addresses for callers in `zone`, the best first."""
 
 
+_Message = TypeVar("_Message", bound=msgspec.Struct)
+
+# Whole numbers that other hosts can be told.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+_Number = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+_Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9]+(\.[0-9]+){3}:[0-9]{1,5}$")]
+
+
 class _Beat(msgspec.Struct):
     """A replica's heartbeat."""
 
-    service: str
-    address: str
-    zone: str = ""
+    service: _Name
+    address: _Address
+    zone: _Name
+    slots: _Count
+    state: Literal[names.STATE_READY, names.STATE_DRAINING]
+    sequence: _Number
     # Of its software.
     version: str = ""
-    slots: int = 0
-    state: str = ""
     # How much longer it is slow after its start.
     cold_remaining_ms: float = 0
-    sequence: int = 0
     # Whether it may be reclaimed.
     spot: bool = False
     leaves_ms: float | None = None
+    # Unix time of its start in milliseconds.
+    born: _Number = 0
+
+
+class _Deregistration(msgspec.Struct):
+    """What a replica may say of itself when it ends."""
+
+    # Unix time of its start in milliseconds.
+    born: _Number | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,8 +118,7 @@
         if call.path.startswith(names.HEARTBEAT):
             return await self._beat(call)
         if call.path.startswith(names.DEREGISTER):
-            await self._operations.note_gone(call.path[len(names.DEREGISTER) :])
-            return Answer(200, b"{}", _JSON)
+            return await self._deregister(call)
         if call.path == names.CONFIG_REPLACE and call.method == b"POST":
             table = decode_table(call.body)
             await self._operations.put_table(table.version, call.body)
@@ -111,12 +128,9 @@
         return _NOT_FOUND
 
     async def _beat(self, call: _Call) -> Answer:
-        try:
-            beat = msgspec.json.decode(call.body, type=_Beat)
-        except msgspec.MsgspecError as error:
-            raise Failure(Code.INVALID_REQUEST, str(error)) from error
+        beat = _decode(call.body, _Beat)
         announcement = Announcement(
-            id=call.path[len(names.HEARTBEAT) :],
+            id=_id_behind(names.HEARTBEAT, call.path),
             service=beat.service,
             address=beat.address,
             zone=beat.zone,
@@ -127,10 +141,17 @@
             leaves_in=(beat.leaves_ms or 0) / 1000,
             warmup=beat.cold_remaining_ms / 1000,
             software=beat.version,
+            incarnation=beat.born,
         )
         await self._operations.note_announcement(announcement)
         return Answer(200, b"{}", _JSON)
 
+    async def _deregister(self, call: _Call) -> Answer:
+        upstream = _id_behind(names.DEREGISTER, call.path)
+        born = _decode(call.body, _Deregistration).born if call.body else None
+        await self._operations.note_gone(upstream, born)
+        return Answer(200, b"{}", _JSON)
+
 
 class DirectoryCalls:
     """Questions of callers where to connect."""
@@ -173,6 +194,21 @@
         await exchange.answer(Answer(status, b"{}", _JSON))
 
 
+def _decode(body: bytes, kind: type[_Message]) -> _Message:
+    """Return a replica's message; raise `Failure` for what isn't one."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise Failure(Code.INVALID_REQUEST, str(error)) from error
+
+
+def _id_behind(prefix: str, path: str) -> str:
+    name = path[len(prefix) :]
+    if not name:
+        raise Failure(Code.INVALID_REQUEST, "The call names no upstream.")
+    return name
+
+
 def _error(status: int, failure: Failure) -> Answer:
     body = msgspec.json.encode({"error": failure.code, "text": failure.text})
     return Answer(status, body, _RETRY_HEADERS if status == 503 else _JSON)
--- a/src/pepperstep/platform/names.py
+++ b/src/pepperstep/platform/names.py
@@ -29,6 +29,7 @@
     "SERVES_DIRECTORY",
     "SERVES_EDGE",
     "STATE_DRAINING",
+    "STATE_READY",
     "TENANT",
     "TOKENS",
     "UNIT_TOKENS",
@@ -94,4 +95,5 @@
 SERVES_DIRECTORY = "directory"
 SERVES_EDGE = "edge"
 STATE_DRAINING = "draining"
+STATE_READY = "ready"
 UNIT_TOKENS = "token_stream"
--- a/src/pepperstep/ports/exchange.py
+++ b/src/pepperstep/ports/exchange.py
@@ -127,7 +127,10 @@
         """Whether another request may be sent: all is read and nothing more came."""
 
     def close(self) -> None:
-        """Close the connection, which ends what the upstream does for it."""
+        """Close the connection, which ends what the upstream does for it.
+
+        A task that sends or reads at the same time gets a `ConnectionFault`.
+        """
 
 
 class UpstreamConnector(Protocol):
--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -7,7 +7,7 @@
 import trio
 from absl import logging
 
-from pepperstep.coordination import Announcement, UpstreamBook
+from pepperstep.coordination import Announcement, UpstreamBook, UpstreamKey
 from pepperstep.entities.routes import Route, Service, Workspace
 from pepperstep.ports import Timers
 from pepperstep.ports.exchange import (
@@ -62,7 +62,7 @@
     deadline: float
     # What it was admitted for, in the unit of its workspace's quota.
     cost: float = 0.0
-    tried: set[str] = field(default_factory=set)
+    tried: set[UpstreamKey] = field(default_factory=set)
     # Attempts that reached an upstream.
     sent: int = 0
     # Whether an upstream may have run it.
@@ -122,7 +122,7 @@
         Raise `CallerGone` if the caller leaves.
         """
         upstream = choice.upstream
-        attempt.tried.add(upstream.id)
+        attempt.tried.add(upstream.key)
         attempt.choice = choice
         attempt.begun_at = self._timers.now()
         attempt.is_unread = bool(attempt.facts.prompt_parts)
@@ -150,7 +150,7 @@
         attempt.is_answered = True
 
     async def _send(self, attempt: Attempt, upstream: Announcement) -> Outcome:
-        connection = await self._pools.take(upstream.id, upstream.address)
+        connection = await self._pools.take(upstream.key, upstream.address)
         try:
             attempt.sent += 1
             attempt.is_under_way = True
@@ -158,7 +158,7 @@
                 self._request_head(attempt, upstream), attempt.exchange.body
             )
             head, facts = await self._find_answer(attempt, connection, head)
-            self._pools.note_keep_seconds(upstream.id, facts.keep_seconds)
+            self._pools.note_keep_seconds(upstream.key, facts.keep_seconds)
             outcome = await self._take(attempt, upstream, connection, head, facts)
             if facts.closes:
                 connection.close()
@@ -169,7 +169,7 @@
             attempt.is_under_way = False
             raise
         finally:
-            self._pools.give_back(upstream.id, connection)
+            self._pools.give_back(upstream.key, connection)
 
     def _request_head(self, attempt: Attempt, upstream: Announcement):
         forwarding = Forwarding(
@@ -234,7 +234,7 @@
         attempt.note_failed(upstream.id, f"refused with {head.status}")
         if facts.other_upstream and facts.other_upstream != upstream.id:
             # The address belongs to another upstream by now.
-            self._book.note_gone(upstream.id)
+            self._book.note_gone(upstream.id, upstream.incarnation)
         attempt.retry_after = max(attempt.retry_after, facts.retry_after)
         return Outcome.NOT_RUN
 
--- a/src/pepperstep/relay/choice.py
+++ b/src/pepperstep/relay/choice.py
@@ -7,7 +7,12 @@
 
 import xxhash
 
-from pepperstep.coordination import Announcement, ServiceWork, UpstreamBook
+from pepperstep.coordination import (
+    Announcement,
+    ServiceWork,
+    UpstreamBook,
+    UpstreamKey,
+)
 from pepperstep.entities.routes import Service
 from pepperstep.ports.relaying import RequestFacts
 from pepperstep.relay.load import LoadMeter
@@ -76,7 +81,7 @@
         self._zone = zone
         self._now = now
         self._rng = rng
-        self._standings: dict[str, _Standing] = {}
+        self._standings: dict[UpstreamKey, _Standing] = {}
         self._meters: dict[str, LoadMeter] = {}
 
     def works(self) -> dict[str, ServiceWork]:
@@ -85,18 +90,18 @@
         return {service: meter.work(now) for service, meter in self._meters.items()}
 
     def choose(
-        self, service: Service, facts: RequestFacts, tried: Collection[str]
+        self, service: Service, facts: RequestFacts, tried: Collection[UpstreamKey]
     ) -> Choice | None:
         """Return an upstream for a request, None if there is none."""
         candidates = [
             each
             for each in self._book.working(service.name)
-            if each.id not in tried
-            and self._pools.has_room(each.id, service.max_connections)
+            if each.key not in tried
+            and self._pools.has_room(each.key, service.max_connections)
         ]
         if not candidates:
             return None
-        healthy = [each for each in candidates if not self._is_paused(each.id)]
+        healthy = [each for each in candidates if not self._is_paused(each.key)]
         candidates = healthy or candidates
         if facts.prompt_parts:
             return self._choose_by_prompt(service, candidates, facts)
@@ -114,14 +119,14 @@
     def begin(self, choice: Choice, facts: RequestFacts) -> None:
         """Count a request that is sent to an upstream."""
         upstream = choice.upstream
-        self._standing(upstream.id).in_flight += 1
+        self._standing(upstream.key).in_flight += 1
         self._meter_of(upstream.service).begin(self._now())
         if facts.prompt_parts:
-            self._prompts.begin(upstream.id, facts.prompt_parts, choice.missing)
+            self._prompts.begin(upstream.key, facts.prompt_parts, choice.missing)
 
     def note_read(self, choice: Choice, seconds: float | None) -> None:
         """Count a prompt's first token after `seconds`, None for its end without."""
-        self._prompts.end(choice.upstream.id, choice.missing)
+        self._prompts.end(choice.upstream.key, choice.missing)
         if seconds is not None:
             speed = self._speed_of(choice.upstream.service)
             speed.note(choice.missing, seconds)
@@ -129,7 +134,7 @@
     def end(self, upstream: Announcement, is_sound: bool) -> None:
         """Count a request's end, and whether the upstream did what it should."""
         self._meter_of(upstream.service).end(self._now())
-        standing = self._standing(upstream.id)
+        standing = self._standing(upstream.key)
         standing.in_flight -= 1
         if is_sound:
             standing.failures = 0
@@ -138,7 +143,7 @@
         standing.failures += 1
         standing.paused_until = self._now() + min(pause, _MAX_PAUSE_SECONDS)
 
-    def forget(self, upstream: str) -> None:
+    def forget(self, upstream: UpstreamKey) -> None:
         """Drop what is known of an upstream that is gone."""
         self._prompts.forget(upstream)
         standing = self._standings.get(upstream)
@@ -164,8 +169,8 @@
         for upstream in self._rng.sample(candidates, len(candidates)):
             rank = min(ranks.get(upstream.id, 0), _RANKS)
             cost = (
-                hosts * self._prompts.unread_of(upstream.id)
-                + _REQUEST_TOKENS * self._standing(upstream.id).in_flight
+                hosts * self._prompts.unread_of(upstream.key)
+                + _REQUEST_TOKENS * self._standing(upstream.key).in_flight
                 + _RANK_SHARE * shared * rank
             )
             if cost < least:
@@ -185,11 +190,11 @@
         Other hosts send to the same upstreams. What they have sent is taken as
         equal to this host's own, spread evenly.
         """
-        missing = self._prompts.missing_tokens(upstream.id, facts.prompt_parts)
+        missing = self._prompts.missing_tokens(upstream.key, facts.prompt_parts)
         if ranks.get(upstream.id) == 0:
             missing = min(missing, _missing_at_preferred(facts))
         others = self._prompts.unread * (self._host_count() - 1) / count
-        unread = self._prompts.unread_of(upstream.id) + others
+        unread = self._prompts.unread_of(upstream.key) + others
         speed = self._speed_of(service.name)
         return Choice(upstream, missing, speed.seconds_for(unread + missing), count)
 
@@ -217,7 +222,7 @@
         return speed
 
     def _load(self, upstream: Announcement) -> tuple[float, bool, float]:
-        standing = self._standing(upstream.id)
+        standing = self._standing(upstream.key)
         return (
             standing.in_flight,
             upstream.zone != self._zone,
@@ -230,10 +235,10 @@
             meter = self._meters[service] = LoadMeter(self._now())
         return meter
 
-    def _is_paused(self, upstream: str) -> bool:
+    def _is_paused(self, upstream: UpstreamKey) -> bool:
         return self._standing(upstream).paused_until > self._now()
 
-    def _standing(self, upstream: str) -> _Standing:
+    def _standing(self, upstream: UpstreamKey) -> _Standing:
         standing = self._standings.get(upstream)
         if standing is None:
             standing = self._standings[upstream] = _Standing()
--- a/src/pepperstep/relay/pools.py
+++ b/src/pepperstep/relay/pools.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from pepperstep.coordination import UpstreamKey
 from pepperstep.ports.exchange import UpstreamConnection, UpstreamConnector
 
 __all__ = ["Pools"]
@@ -25,6 +26,9 @@
 
     def __init__(self) -> None:
         self.idle: list[UpstreamConnection] = []
+        # Connections that carry a request.
+        self.busy: set[UpstreamConnection] = set()
+        # These, and those that are being opened.
         self.in_use = 0
         self.keep_seconds = _DEFAULT_KEEP_SECONDS
 
@@ -35,7 +39,7 @@
 
 
 class Pools:
-    """Connections of this host to all upstreams, by the upstream's id."""
+    """Connections of this host to all upstreams, by the upstream's key."""
 
     def __init__(
         self,
@@ -46,9 +50,9 @@
         self._connector = connector
         self._host_count = host_count
         self._now = now
-        self._pools: dict[str, _Pool] = {}
+        self._pools: dict[UpstreamKey, _Pool] = {}
 
-    def has_room(self, upstream: str, max_connections: int) -> bool:
+    def has_room(self, upstream: UpstreamKey, max_connections: int) -> bool:
         """Whether this host may send one more request there now."""
         pool = self._pools.get(upstream)
         if pool is None or not max_connections:
@@ -56,7 +60,7 @@
         part = _USED_SHARE * max_connections / max(1, self._host_count())
         return pool.in_use < max(1, int(part))
 
-    async def take(self, upstream: str, address: str) -> UpstreamConnection:
+    async def take(self, upstream: UpstreamKey, address: str) -> UpstreamConnection:
         """Return an idle connection, or a new one.
 
         Raise `ConnectionFault`.
@@ -64,33 +68,35 @@
         pool = self._pools.setdefault(upstream, _Pool())
         connection = self._take_idle(pool)
         pool.in_use += 1
-        if connection is not None:
-            return connection
-        try:
-            return await self._connector.connect(address, _CONNECT_SECONDS)
-        except BaseException:
-            pool.in_use -= 1
-            raise
-
-    def give_back(self, upstream: str, connection: UpstreamConnection) -> None:
+        if connection is None:
+            try:
+                connection = await self._connector.connect(address, _CONNECT_SECONDS)
+            except BaseException:
+                pool.in_use -= 1
+                raise
+        pool.busy.add(connection)
+        return connection
+
+    def give_back(self, upstream: UpstreamKey, connection: UpstreamConnection) -> None:
         """Keep a connection for the next request if it may carry one."""
         pool = self._pools.get(upstream)
         if pool is None:
             connection.close()
             return
         pool.in_use -= 1
+        pool.busy.discard(connection)
         if connection.is_reusable():
             pool.idle.append(connection)
         else:
             connection.close()
 
-    def note_keep_seconds(self, upstream: str, seconds: float) -> None:
+    def note_keep_seconds(self, upstream: UpstreamKey, seconds: float) -> None:
         """Take in how long the upstream keeps idle connections."""
         pool = self._pools.get(upstream)
         if pool is not None and seconds > 0:
             pool.keep_seconds = _USED_PART * seconds
 
-    def drop(self, upstream: str) -> None:
+    def drop(self, upstream: UpstreamKey) -> None:
         """Close all idle connections to an upstream."""
         pool = self._pools.get(upstream)
         if pool is None:
@@ -100,6 +106,17 @@
         if not pool.in_use:
             del self._pools[upstream]
 
+    def cut(self, upstream: UpstreamKey) -> None:
+        """Close all connections to an upstream that has ended.
+
+        What waits for its answers learns so at once that none will come.
+        """
+        pool = self._pools.get(upstream)
+        if pool is not None:
+            for connection in list(pool.busy):
+                connection.close()
+        self.drop(upstream)
+
     def close_expired(self) -> None:
         """Close connections that wait longer than they may be used."""
         now = self._now()
--- a/src/pepperstep/relay/prompts.py
+++ b/src/pepperstep/relay/prompts.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
+from pepperstep.coordination import UpstreamKey
 from pepperstep.ports.relaying import PromptPart
 
 __all__ = ["PromptMemory", "ReadingSpeed"]
@@ -46,14 +47,14 @@
 
 
 class PromptMemory:
-    """Engines by the upstream's id."""
+    """Engines by the upstream's key."""
 
     def __init__(self, now: Callable[[], float]):
         self._now = now
-        self._engines: dict[str, _Engine] = {}
+        self._engines: dict[UpstreamKey, _Engine] = {}
         self.unread = 0
 
-    def missing_tokens(self, upstream: str, parts: Sequence[PromptPart]) -> int:
+    def missing_tokens(self, upstream: UpstreamKey, parts: Sequence[PromptPart]) -> int:
         """Return the tokens that an engine has to read of a prompt."""
         engine = self._engines.get(upstream)
         total = sum(part.tokens for part in parts)
@@ -66,12 +67,14 @@
             total -= part.tokens
         return total
 
-    def unread_of(self, upstream: str) -> int:
+    def unread_of(self, upstream: UpstreamKey) -> int:
         """Return the tokens that were sent there and aren't read yet."""
         engine = self._engines.get(upstream)
         return 0 if engine is None else engine.unread
 
-    def begin(self, upstream: str, parts: Sequence[PromptPart], missing: int) -> None:
+    def begin(
+        self, upstream: UpstreamKey, parts: Sequence[PromptPart], missing: int
+    ) -> None:
         """Count a prompt that is sent to an engine."""
         engine = self._engines.setdefault(upstream, _Engine())
         engine.unread += missing
@@ -83,14 +86,14 @@
         while len(engine.parts) > _MAX_PARTS:
             engine.parts.popitem(last=False)
 
-    def end(self, upstream: str, missing: int) -> None:
+    def end(self, upstream: UpstreamKey, missing: int) -> None:
         """Count a prompt that was read, or given up."""
         self.unread -= missing
         engine = self._engines.get(upstream)
         if engine is not None:
             engine.unread -= missing
 
-    def forget(self, upstream: str) -> None:
+    def forget(self, upstream: UpstreamKey) -> None:
         """Drop what is known of an engine that is gone, but for what is unread."""
         engine = self._engines.get(upstream)
         if engine is None:
--- a/src/pepperstep/relay_hosts.py
+++ b/src/pepperstep/relay_hosts.py
@@ -149,6 +149,7 @@
         self.sync.on_restart = self._quotas.note_restart
         self.sync.is_hurried = lambda: self._quotas.is_pressed
         self.book.subscribe(self._note_upstream)
+        self.book.subscribe_restarts(self._note_ended)
 
     @property
     def is_ready(self) -> bool:
@@ -204,9 +205,14 @@
 
     def _note_upstream(self, announcement: Announcement) -> None:
         if not announcement.takes_work:
-            self._pools.drop(announcement.id)
+            self._pools.drop(announcement.key)
         if announcement.is_gone:
-            self._chooser.forget(announcement.id)
+            self._chooser.forget(announcement.key)
+
+    def _note_ended(self, before: Announcement) -> None:
+        """Drop what an upstream had in the incarnation before its restart."""
+        self._pools.cut(before.key)
+        self._chooser.forget(before.key)
 
     async def _tidy(self) -> None:
         async for _ in self._timers.subscribe(_TIDY_SECONDS):
@@ -297,9 +303,9 @@
         """Take in what an upstream says of itself."""
         await self.desk.note_announcement(announcement)
 
-    async def note_gone(self, upstream: str) -> None:
+    async def note_gone(self, upstream: str, incarnation: int | None = None) -> None:
         """Take in that an upstream ends."""
-        await self.desk.note_gone(upstream)
+        await self.desk.note_gone(upstream, incarnation)
 
     def entry_addresses(self, zone: str) -> list[str]:
         """Return addresses for callers, those of their availability zone first."""
--- a/tests/relaying/test_http1.py
+++ b/tests/relaying/test_http1.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+import trio.testing
 from hypothesis import HealthCheck, given, settings, strategies as st
 
 from pepperstep.adapters.http1 import Http1Connector, Http1Server
@@ -277,3 +278,29 @@
         assert head.status == 413
         assert not connection.is_reusable()
         nursery.cancel_scope.cancel()
+
+
+async def test_closing_a_connection_that_is_read_is_a_fault():
+    async def keep_silent(stream) -> None:
+        await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listener.socket.getsockname()[1]
+        nursery.start_soon(trio.serve_listeners, keep_silent, [listener])
+        connector = Http1Connector(trio.current_time)
+        connection = await connector.connect(f"127.0.0.1:{port}", 5.0)
+        faults = []
+
+        async def send() -> None:
+            head = RequestHead(b"GET", b"/", ((b"host", b"a"),))
+            with pytest.raises(ConnectionFault) as caught:
+                await connection.send(head, b"")
+            faults.append(caught.value.was_sent)
+
+        async with trio.open_nursery() as sending:
+            sending.start_soon(send)
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            connection.close()
+        assert faults == [True]
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/relaying/test_upstream_restarts.py
@@ -0,0 +1,292 @@
+"""Upstreams that start again under their id, and announcements by other writers."""
+
+import json
+
+import pytest
+import trio
+from hypothesis import HealthCheck, given, settings, strategies as st
+
+from pepperstep.coordination import Announcement, UpstreamBook
+from pepperstep.errors import Code, Failure
+from pepperstep.fakes.relaying import FakeExchange, Reply
+from pepperstep.platform import ControlCalls
+from pepperstep.ports.exchange import AnswerHead, RequestHead
+from tests.relaying.world import document, open_world, request
+
+OK = AnswerHead(200, ((b"pepperstep-attempt-id", b"id-1"),))
+# Unix milliseconds of two starts.
+BEFORE = 1_700_000_000_000
+AFTER = BEFORE + 5_000
+
+BEAT = {
+    "service": "plain",
+    "address": "10.0.0.9:8080",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "sequence": 3,
+    "cold_remaining_ms": 0,
+    "born": BEFORE,
+}
+
+
+def announcement(**changes) -> Announcement:
+    """Return an announcement of the first start with changes."""
+    facts = {"service": "plain", "address": "u1:80", "zone": "z1", "slots": 4}
+    facts |= {"sequence": 7, "incarnation": BEFORE} | changes
+    return Announcement("u1", **facts)
+
+
+async def test_later_start_replaces_all_that_was_known(autojump_clock):
+    book = UpstreamBook(trio.current_time)
+    book.note(announcement(is_leaving=True, warmup=2.0))
+    book.note_gone("u1")
+    again = announcement(incarnation=AFTER, sequence=1, address="u1:81")
+    assert book.note(again)
+    assert book.working("plain") == [again]
+
+
+async def test_announcement_of_an_earlier_start_changes_nothing(autojump_clock):
+    book = UpstreamBook(trio.current_time)
+    again = announcement(incarnation=AFTER, sequence=1)
+    book.note(again)
+    heard_at = book.age("u1")
+    await trio.sleep(2.0)
+    assert not book.note(announcement(sequence=99, is_leaving=True))
+    assert not book.note(announcement(sequence=99, incarnation=0))
+    assert book.working("plain") == [again]
+    assert book.age("u1") == heard_at + 2.0
+
+
+async def test_end_of_an_earlier_start_does_not_end_the_later_one(autojump_clock):
+    book = UpstreamBook(trio.current_time)
+    again = announcement(incarnation=AFTER, sequence=1)
+    book.note(again)
+    book.note_gone("u1", BEFORE)
+    assert book.working("plain") == [again]
+    book.note_gone("u1", AFTER)
+    assert book.working("plain") == []
+
+
+async def test_upstream_that_started_again_is_not_forgotten_among_gone_ones(
+    autojump_clock, monkeypatch
+):
+    monkeypatch.setattr("pepperstep.coordination.upstream_book._MAX_GONE", 1)
+    book = UpstreamBook(trio.current_time)
+    book.note(announcement())
+    book.note_gone("u1")
+    again = announcement(incarnation=AFTER, sequence=1)
+    book.note(again)
+    book.note_gone("u2")
+    book.note_gone("u3")
+    assert book.working("plain") == [again]
+
+
+async def test_service_does_not_change_within_a_start(autojump_clock):
+    book = UpstreamBook(trio.current_time)
+    book.note(announcement())
+    assert not book.note(announcement(service="model", sequence=9))
+    assert not book.note(announcement(service="?", sequence=9, is_leaving=True))
+    assert book.working("plain") == [announcement()]
+
+
+LIVES = st.lists(
+    st.builds(
+        announcement,
+        incarnation=st.sampled_from([0, BEFORE, AFTER]),
+        sequence=st.integers(1, 9),
+        is_leaving=st.booleans(),
+        service=st.sampled_from(["plain", "plain", "plain", "model"]),
+    ),
+    min_size=1,
+    max_size=12,
+)
+
+
+@settings(deadline=None, suppress_health_check=list(HealthCheck))
+@given(heard=LIVES, order=st.randoms(use_true_random=False))
+def test_any_order_ends_at_the_latest_start(heard, order):
+    heard = [
+        each for each in heard if each.service == "plain" or each.incarnation < AFTER
+    ]
+    if not heard:
+        return
+    shuffled = [*heard, *heard]
+    order.shuffle(shuffled)
+    book = UpstreamBook(lambda: 0.0)
+    for each in shuffled:
+        before = book.get("u1")
+        book.note(each)
+        now = book.get("u1")
+        if before is not None:
+            assert now.incarnation >= before.incarnation
+            if now.incarnation == before.incarnation:
+                assert now.sequence >= before.sequence
+                assert now.is_leaving >= before.is_leaving
+                assert now.service == before.service
+    latest = max(each.incarnation for each in heard)
+    alive = [each for each in heard if each.incarnation == latest]
+    known = book.get("u1")
+    assert known.incarnation == latest
+    if {each.service for each in alive} == {known.service}:
+        assert known.sequence == max(each.sequence for each in alive)
+        assert known.is_leaving == any(each.is_leaving for each in alive)
+
+
+async def test_entry_host_forgets_what_a_restarted_upstream_kept(autojump_clock):
+    async with open_world() as world:
+        await world.put(1)
+        entry = world.entries["e0:1"]
+        world.connector.scripts["u1:80"] = lambda sent: Reply(OK, (b"data: 1\n\n",))
+        await world.announce("c0:1", "u1", "model", incarnation=BEFORE)
+        await trio.sleep(1.0)
+        prompt = (b"pepperstep-prompt-prefix", b"aa:5000,bb:3000")
+        for _ in range(2):
+            await world.ask("e0:1", request("/stream/x", prompt))
+        [upstream] = entry.book.working("model")
+        prompts = entry._chooser._prompts
+        parts = entry.relay._wire.read_request(
+            request("/stream/x", prompt)
+        ).prompt_parts
+        assert prompts.missing_tokens(upstream.key, parts) == 0
+        await world.announce("c0:1", "u1", "model", sequence=1, incarnation=AFTER)
+        await trio.sleep(1.0)
+        [upstream] = entry.book.working("model")
+        assert upstream.incarnation == AFTER
+        assert prompts.missing_tokens(upstream.key, parts) == 8000
+
+
+async def test_request_at_an_upstream_that_starts_again_is_sent_on_at_once(
+    autojump_clock,
+):
+    async with open_world() as world:
+        await world.put(1)
+        replies = iter([Reply(OK, delay=60.0), Reply(OK, (b"ok",))])
+        world.connector.scripts["u1:80"] = lambda sent: next(replies)
+        await world.announce("c0:1", "u1", "plain", incarnation=BEFORE)
+        await trio.sleep(1.0)
+        got: list[FakeExchange] = []
+
+        async def ask() -> None:
+            got.append(await world.ask("e0:1", request("/safe/x")))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.2)
+            await world.announce("c0:1", "u1", "plain", incarnation=AFTER)
+            with trio.move_on_after(0.5):
+                while not got:
+                    await trio.sleep(0.01)
+        assert [each.status for each in got] == [200]
+
+
+async def test_leaving_is_told_again_by_a_later_start(autojump_clock):
+    async with open_world() as world:
+        await world.announce("c1:1", "u1", "plain", incarnation=BEFORE)
+        await world.announce(
+            "c1:1", "u1", "plain", incarnation=BEFORE, sequence=2, is_leaving=True
+        )
+        await world.announce("c1:1", "u1", "plain", incarnation=AFTER)
+        await trio.sleep(1.0)
+        await world.announce(
+            "c1:1", "u1", "plain", incarnation=AFTER, sequence=2, is_leaving=True
+        )
+        world.kill("c1:1")
+        await trio.sleep(1.0)
+        for host in world.entries.values():
+            assert host.book.working("plain") == []
+
+
+async def beat(host, body: bytes, upstream: str = "i-1", call: str = "Heartbeat"):
+    """Send a heartbeat, or the call of an upstream that ends."""
+    head = RequestHead(b"POST", f"/-/Replicas.{call}/{upstream}".encode(), ())
+    exchange = FakeExchange(head, body, trio.current_time())
+    await ControlCalls(host).handle(exchange)
+    return exchange.status
+
+
+FOREIGN = [
+    *({"state": state} for state in ("warming", "", 3, None, ["ready"])),
+    *({"service": service} for service in ("unheard-of", "", 3, None)),
+    *({"address": address} for address in ("", "here", "10.0.0.9", "a:80", 80)),
+    *({"born": born} for born in (1.5, -1, "1", 2**70, 2**62, True, None)),
+    *({"sequence": number} for number in (1.5, -1, "1", 2**70, True, None)),
+    *({"slots": number} for number in (1.5, -1, "1", 2**40)),
+    *({"zone": zone} for zone in ("", 3, None)),
+]
+
+
+@pytest.mark.parametrize("changes", FOREIGN)
+async def test_heartbeat_of_another_writer_names_no_upstream(autojump_clock, changes):
+    async with open_world() as world:
+        await world.put(1)
+        await trio.sleep(0.5)
+        host = world.controls["c0:1"]
+        assert await beat(host, json.dumps(BEAT).encode()) == 200
+        [known] = host.book.working("plain")
+        foreign = json.dumps(BEAT | {"sequence": 9} | changes).encode()
+        assert await beat(host, foreign, "i-2") == 400
+        assert await beat(host, foreign) in (200, 400)
+        assert host.book.all() == [known]
+
+
+@pytest.mark.parametrize(
+    "missing", ["service", "address", "zone", "slots", "state", "sequence"]
+)
+async def test_heartbeat_without_a_field_names_no_upstream(autojump_clock, missing):
+    async with open_world() as world:
+        await world.put(1)
+        await trio.sleep(0.5)
+        host = world.controls["c0:1"]
+        body = {name: value for name, value in BEAT.items() if name != missing}
+        assert await beat(host, json.dumps(body).encode()) == 400
+        assert host.book.all() == []
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(
+    cut=st.integers(0, 200),
+    noise=st.binary(max_size=6),
+    path=st.sampled_from(["Heartbeat", "Deregister"]),
+)
+def test_bytes_that_are_no_message_are_refused(cut, noise, path):
+    body = json.dumps(BEAT).encode()
+    body = body[:cut] + noise + body[cut + len(noise) :]
+
+    class Taken:
+        """Takes whatever the border lets through."""
+
+        async def note_announcement(self, announcement):
+            announcement.to_message()
+
+        async def note_gone(self, upstream, incarnation):
+            pass
+
+    assert trio.run(beat, Taken(), body, "i-1", path) in (200, 400)
+
+
+async def test_end_without_a_name_is_refused(autojump_clock):
+    async with open_world() as world:
+        host = world.controls["c0:1"]
+        assert await beat(host, b"", upstream="", call="Deregister") == 400
+        assert await beat(host, b'{"born": 1.5}', call="Deregister") == 400
+
+
+async def test_upstream_of_a_service_that_no_table_names_is_refused(autojump_clock):
+    services = [{"name": name} for name in ("plain", "model", "later")]
+    async with open_world() as world:
+        host = world.controls["c0:1"]
+        await world.put(5, document(5, services=services))
+        await trio.sleep(0.5)
+        await host.note_announcement(announcement(service="later"))
+        await world.put(6)
+        await trio.sleep(0.5)
+        # One that is known may still say that it leaves.
+        await host.note_announcement(
+            announcement(service="later", sequence=8, is_leaving=True)
+        )
+        with pytest.raises(Failure) as caught:
+            unknown = Announcement("u2", "later", "u2:80", "z1")
+            await host.note_announcement(unknown)
+        assert caught.value.code is Code.INVALID_REQUEST
