True time is kept against the monotonic clock; entry hosts' lives are ordered by the desk's clock

The control host's clock jumped back by 3,740 s at 25.3 s and ahead again at 30.33 s; it reported the window at 30.38 s in place of 32.6 s. What other hosts' clocks said was kept as a difference to its own Unix time, so at each end of a jump the sum was off by the whole jump until the next answer.

Change: others' clocks are kept as differences to the monotonic time; the middle of them is the true time, and the own clock is one vote, used where it makes the votes odd. They hold on while no control host answers. A host's lives are ordered by when the desk believes they started, as one that starts with its clock set back stayed hidden behind the life before. Each report of usage logs its sum and how many lives have counted.

Ruled out: two polls in a row before a report, which only shortens the error.

--- a/src/pepperstep/coordination/control_desk.py
+++ b/src/pepperstep/coordination/control_desk.py
@@ -161,6 +161,10 @@
                 totals[name] = totals.get(name, 0) + count
         return totals
 
+    def lives_counting(self, window: int) -> int:
+        """Return how many lives of entry hosts have counted requests in a window."""
+        return sum(window in entry.report.windows for entry in self._entries.values())
+
     def work_of(self, service: str) -> ServiceWork:
         """Return the work that all entry hosts give a service's upstreams."""
         limit = self._timers.now() - _ENTRY_SILENCE_SECONDS
@@ -367,7 +371,7 @@
 
     def _newest_lives(self) -> dict[str, EntryHost]:
         newest: dict[str, EntryHost] = {}
-        for (name, _), entry in sorted(self._entries.items(), key=_by_life):
+        for (name, _), entry in sorted(self._entries.items(), key=_by_start):
             newest[name] = entry
         return newest
 
@@ -387,8 +391,9 @@
                 del self._entries[key]
 
 
-def _by_life(item: tuple[tuple[str, int], EntryHost]) -> tuple[str, int]:
-    return item[0]
+def _by_start(item: tuple[tuple[str, int], EntryHost]) -> float:
+    """Order lives by this host's clock: theirs may have jumped between two starts."""
+    return item[1].started_at
 
 
 def _highest(one: dict[str, int], other: dict[str, int]) -> dict[str, int]:
--- a/src/pepperstep/coordination/sync.py
+++ b/src/pepperstep/coordination/sync.py
@@ -76,8 +76,8 @@
     is_failing: bool = False
     # Question that is under way.
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
-    # Its Unix time less this host's.
-    wall_offset: float = 0.0
+    # Its Unix time less this host's monotonic time, None before its first answer.
+    wall_offset: float | None = None
 
 
 class Sync:
@@ -137,12 +137,19 @@
         return self._timers.now() - max(latest, default=float("-inf"))
 
     @property
-    def wall_offset(self) -> float:
-        """Seconds to add to this host's Unix time: the middle of what hosts say."""
-        reached = self.reached
-        offsets = [self._sources[name].wall_offset for name in reached]
-        offsets = sorted([*offsets, 0.0])
-        return offsets[len(offsets) // 2]
+    def true_time(self) -> float:
+        """The Unix time by the middle of what hosts say.
+
+        Others' clocks are kept against this host's monotonic time. So a jump of its
+        own clock is one vote at once, and no vote of the others'. Against its own
+        Unix time, a control host whose clock had jumped back by an hour took the next
+        window of the accounting for over at the jump's end: it reported 49 of 309
+        requests too few.
+        """
+        now = self._timers.now()
+        told = (source.wall_offset for source in self._sources.values())
+        others = [offset for offset in told if offset is not None]
+        return now + _middle(others, self._timers.wall() - now)
 
     def control_hosts(self) -> list[str]:
         """Return all control hosts that this host knows of, itself excluded."""
@@ -242,7 +249,7 @@
             return True
         source.answered_at = self._timers.now()
         way = max(0.0, source.answered_at - asked_at - reply.waited)
-        source.wall_offset = reply.wall + way / 2 - self._timers.wall()
+        source.wall_offset = reply.wall + way / 2 - source.answered_at
         self._take(reply, source, way)
         return True
 
@@ -304,3 +311,9 @@
         for name in sorted(self._wanted - named - set(self._seeds)):
             if self._sources[name].answered_at < silent:
                 self._wanted.discard(name)
+
+
+def _middle(others: list[float], own: float) -> float:
+    """Return the middle vote; this host's own counts where that makes them odd."""
+    votes = sorted(others if len(others) % 2 else [*others, own])
+    return votes[len(votes) // 2]
--- a/src/pepperstep/coordination/usage.py
+++ b/src/pepperstep/coordination/usage.py
@@ -14,6 +14,7 @@
 from pepperstep.coordination.duty import Duty
 from pepperstep.coordination.records import counts_to_messages, messages_to_counts
 from pepperstep.errors import Failure
+from pepperstep.observability.decisions import UsageReported
 from pepperstep.ports import Agreement, Timers
 from pepperstep.ports.usage import UsageLedger, UsageReport
 from pepperstep.proto import coordination_pb2 as pb
@@ -131,7 +132,14 @@
             logging.info("usage: Window %d isn't reported: %s", window, failure.text)
             await self._timers.sleep(_RESEND_SECONDS)
             return False
-        logging.info("usage: Reported window %d in term %d.", window, report.fence)
+        event = UsageReported(
+            window,
+            report.fence,
+            sum(counts.values()),
+            len(counts),
+            self._desk.lives_counting(window),
+        )
+        logging.info("usage: %s", event)
         return True
 
 
--- a/src/pepperstep/fakes/timers.py
+++ b/src/pepperstep/fakes/timers.py
@@ -43,6 +43,10 @@
         """Return the virtual time."""
         return trio.current_time()
 
+    def step_wall(self, seconds: float) -> None:
+        """Let the Unix time jump."""
+        self._wall_offset += seconds
+
     def wall(self) -> float:
         """Return the virtual Unix time."""
         return EPOCH + trio.current_time() + self._wall_offset
--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -17,6 +17,7 @@
     "RequestRefused",
     "TableInForce",
     "UpstreamsPlanned",
+    "UsageReported",
     "ZonePlan",
 ]
 
@@ -115,6 +116,17 @@
     fence: int
 
 
+class UsageReported(Decision, tag="usage_reported"):
+    """A window's sums were reported to the platform."""
+
+    window: int
+    fence: int
+    requests: int
+    workspaces: int
+    # Lives of entry hosts that have counted something in it.
+    lives: int
+
+
 class ZonePlan(msgspec.Struct, frozen=True):
     """Upstreams that a zone shall have, and those that stand there."""
 
--- a/src/pepperstep/relay_hosts.py
+++ b/src/pepperstep/relay_hosts.py
@@ -208,7 +208,7 @@
         return self.sync.entry_count
 
     def _true_time(self) -> float:
-        return self._timers.wall() + self.sync.wall_offset
+        return self.sync.true_time
 
     def _note_upstream(self, announcement: Announcement) -> None:
         if not announcement.takes_work:
@@ -339,7 +339,7 @@
             self.desk,
             ports.ledger,
             ports.timers,
-            lambda: self._timers.wall() + self.sync.wall_offset,
+            lambda: self.sync.true_time,
         )
 
     def _make_ordering(self, ports: RelayPorts) -> Ordering | None:
--- a/tests/relaying/world.py
+++ b/tests/relaying/world.py
@@ -85,11 +85,15 @@
         self.controls[name] = host
         return host
 
-    async def start_entry(self, name: str, seeds: tuple[str, ...]) -> EntryHost:
-        """Start an entry host."""
+    async def start_entry(
+        self, name: str, seeds: tuple[str, ...], wall_offset: float = 0.0
+    ) -> EntryHost:
+        """Start an entry host, whose Unix time may be off."""
         role = EntryRole(f"{name}:callers")
         settings = RelaySettings(name, "z1", "r1", name, seeds, entry=role)
-        host = await self._start(name, lambda ports: EntryHost(settings, ports))
+        host = await self._start(
+            name, lambda ports: EntryHost(settings, ports), wall_offset=wall_offset
+        )
         self.entries[name] = host
         return host
 
@@ -135,8 +139,8 @@
         names = [name for name, host in self.controls.items() if is_leader(host)]
         return names[0] if names else ""
 
-    async def _start(self, name: str, make, storage=None):
-        timers = FakeTimers(random.Random(self.rng.random()))
+    async def _start(self, name: str, make, storage=None, wall_offset: float = 0.0):
+        timers = FakeTimers(random.Random(self.rng.random()), wall_offset)
         peers_nursery = await self._open_life(name)
         ports = RelayPorts(
             timers=timers,
