Tries to connect to another host last 0.3 s, as an opening packet may be lost

Their first opening packet went to hosts without power, the system repeats it after 1 s, and gRPC waits up to 20 s for a connection, we for 1 s of silence.

Change: a try lasts 0.3 s, then the next begins.

Ruled out: later starts of control hosts (0.3 s behind the entry hosts, seen in the logs); answers of the directory (callers had connections or found hosts).

--- a/src/pepperstep/adapters/grpc_peers.py
+++ b/src/pepperstep/adapters/grpc_peers.py
@@ -31,6 +31,10 @@
     # between calls to a host that's gone.
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 250),
+    # Time for one try to connect. The opening packet to a host without power is lost,
+    # and the system sends it again after a whole second only: after a loss of power
+    # everywhere, entry hosts had their routes 0.6 s after control hosts were there.
+    ("grpc.min_reconnect_backoff_ms", 300),
     # A connection of its own for each channel, so that a new channel doesn't get
     # the connection that went silent.
     ("grpc.use_local_subchannel_pool", 1),
--- a/tests/adapters/test_grpc_peers.py
+++ b/tests/adapters/test_grpc_peers.py
@@ -86,3 +86,41 @@
         return (await peers.call("two", message, LONG)).is_found
     except Failure:
         return False
+
+
+async def test_a_connection_that_does_not_open_is_tried_again(monkeypatch):
+    """As to a host that had no power for its opening packet."""
+    # Silent streams aren't what ends it: that takes longer.
+    monkeypatch.setattr("pepperstep.adapters.peer_streams._SILENCE_SECONDS", 60.0)
+    one, two, between = free_ports(3)
+    streams = []
+
+    async def swallow_first(stream: trio.SocketStream) -> None:
+        streams.append(stream)
+        if len(streams) == 1:
+            await trio.sleep_forever()
+        target = await trio.open_tcp_stream("127.0.0.1", two)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_copy, stream, target)
+            nursery.start_soon(_copy, target, stream)
+
+    message = CancelRequest(request_id="one")
+    async with (
+        trio.open_nursery() as nursery,
+        serving("one", one) as first,
+        serving("two", two) as second,
+    ):
+        second.handle(CancelRequest, answer)
+        listeners = await trio.open_tcp_listeners(between, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, swallow_first, listeners)
+        first.set_address("two", f"127.0.0.1:{between}")
+        # Without it, the first try lasts 20 s.
+        with trio.fail_after(15.0):
+            while not await _is_answered(first, message):
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+
+
+async def _copy(source: trio.SocketStream, target: trio.SocketStream) -> None:
+    async for data in source:
+        await target.send_all(data)
