pepperstep causes: why requests weren't answered in time, by log lines

Change: a table from log files, each ended request in one row, so the rows add up. Lines on choices, answers and refusals carry the time since arrival, the target, the prompt's size.

--- a/src/pepperstep/cli/help.py
+++ b/src/pepperstep/cli/help.py
@@ -94,6 +94,13 @@
         "\nhost. That host is asked, and the others that took part.",
         ("pepperstep explain entry-1.chatcmpl-5be1f0c2a7d94e6b8c31f0aa",),
     ),
+    "causes": (
+        "causes FILE...",
+        "Print why requests weren't answered in time, by log files.",
+        "Each request that has ended is in one row. Shares are by the prompts' tokens."
+        "\nNo server is asked.",
+        ("pepperstep causes entry-*.log",),
+    ),
     "logs": (
         "logs REQUEST_ID FILE...",
         "Print what log files of several hosts tell of a request.",
--- a/src/pepperstep/cli/main.py
+++ b/src/pepperstep/cli/main.py
@@ -3,7 +3,7 @@
 import sys
 from collections.abc import Callable, Sequence
 
-from pepperstep.cli import documents, hosts, logs, requests
+from pepperstep.cli import causes, documents, hosts, logs, requests
 from pepperstep.cli.exits import Exit, Stop, exit_of
 from pepperstep.cli.help import command_help, tool_help
 from pepperstep.cli.options import Options, parse_options
@@ -24,6 +24,7 @@
     "drain": hosts.drain,
     "events": hosts.events,
     "explain": requests.explain,
+    "causes": causes.causes,
     "logs": logs.logs,
 }
 
--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -41,6 +41,8 @@
     # Prompt tokens that it has to read, and when the first token is expected.
     missing_tokens: int = 0
     first_token_ms: int = 0
+    # From the request's arrival.
+    since_arrival_ms: int = 0
 
 
 class RequestFailed(Decision, tag="attempt_failed"):
@@ -66,6 +68,7 @@
     after_ms: int
     retry_after_ms: int = 0
     workspace: str = ""
+    prompt_tokens: int = 0
     # Whether the answer had begun and was broken off.
     was_begun: bool = False
 
@@ -98,6 +101,9 @@
     attempts: int
     first_ms: int
     after_ms: int
+    # Time that the route aims at, 0 for none, and the prompt's size.
+    target_ms: int = 0
+    prompt_tokens: int = 0
 
 
 class TableInForce(Decision, tag="routes_in_force"):
--- a/src/pepperstep/relay/journal.py
+++ b/src/pepperstep/relay/journal.py
@@ -51,6 +51,7 @@
             candidates=choice.candidates,
             missing_tokens=choice.missing,
             first_token_ms=round(1000 * choice.first_token),
+            since_arrival_ms=self._age(attempt.exchange),
         )
         logging.info("relay: %s", event)
 
@@ -83,6 +84,8 @@
             attempts=attempt.sent,
             first_ms=round(1000 * first),
             after_ms=self._age(attempt.exchange),
+            target_ms=round(1000 * attempt.route.target_latency),
+            prompt_tokens=attempt.facts.prompt_tokens,
         )
         logging.info("relay: %s", event)
 
@@ -120,6 +123,7 @@
             retry_after_ms=round(1000 * (failure.retry_after or 0.0)),
             workspace=workspace,
             was_begun=exchange.has_begun,
+            prompt_tokens=0 if attempt is None else attempt.facts.prompt_tokens,
         )
         logging.info("relay: %s", event)
 
