Mechanisms that can be taken out of a copy for ablations; proofs of the new mechanisms

Cause: what a mechanism of the relay or of orders is worth was told by one-off trials.

Eight mechanisms of this change join the proofs, whose texts follow the code again.

Ruled out: settings that switch mechanisms off, which would be paths to keep.

--- a/measure/main.py
+++ b/measure/main.py
@@ -8,6 +8,12 @@
 __all__ = ["main"]
 
 
+def _ablation() -> Callable:
+    from measure import ablation
+
+    return ablation.main
+
+
 def _policies() -> Callable:
     from measure import policies
 
@@ -56,6 +62,7 @@
 
 # Each imports its module only when it's asked for, as flags are global.
 _COMMANDS = {
+    "ablation": _ablation,
     "capacity": _capacity,
     "log": _log,
     "placement": _placement,
--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -10,6 +10,7 @@
 _ORDERING = "tests/relaying/test_ordering.py::"
 _PLACEMENT = "tests/relaying/test_placement.py::"
 _QUOTAS = "tests/relaying/test_quota_windows.py::"
+_RESTARTS = "tests/relaying/test_upstream_restarts.py::"
 
 RELAY_MECHANISMS = (
     Mechanism(
@@ -75,8 +76,8 @@
         5,
         "another control host knows of an upstream's leaving",
         "coordination/control_desk.py",
-        "            await self._tell_others(self._book.get(announcement.id))\n",
-        "            pass\n",
+        "                await self._tell_leaving(now)\n",
+        "                pass\n",
         (f"{_COORDINATION}test_leaving_is_not_acknowledged_by_a_host_cut_off",),
     ),
     Mechanism(
@@ -166,7 +167,7 @@
         9,
         "prompts go where the host has few requests under way",
         "relay/choice.py",
-        "+ _REQUEST_TOKENS * self._standing(upstream.id).in_flight",
+        "+ _REQUEST_TOKENS * self._standing(upstream.key).in_flight",
         "",
         (f"{_PLACEMENT}test_prompts_come_in_time",),
     ),
@@ -174,7 +175,7 @@
         9,
         "hosts rank upstreams alike by a prompt's shared part",
         "relay/choice.py",
-        "+ _RANK_SHARE * shared * rank",
+        "+ share * shared * rank",
         "",
         (f"{_PLACEMENT}test_hosts_send_a_parts_prompts_to_few_engines",),
     ),
@@ -182,7 +183,7 @@
         9,
         "steady upstreams are ordered ahead of the next zone's loss",
         "coordination/scaling.py",
-        "lacking = max(lacking, _lacking_for_next_loss(needed, carried))",
+        "lacking = max(lacking, _lacking_for_next_loss(needed_long, carried))",
         "lacking = max(lacking, needed_now - sum(carried))",
         (f"{_ORDERING}test_two_zones_in_a_row_leave_enough",),
     ),
@@ -210,4 +211,83 @@
         "if False:",
         (f"{_RELAY}test_retries_stop_with_their_budget",),
     ),
+    Mechanism(
+        2,
+        "an upstream's later start replaces what was known of the one before",
+        "coordination/upstream_book.py",
+        "if announcement.incarnation > known.announcement.incarnation:",
+        "if False:",
+        (f"{_RESTARTS}test_later_start_replaces_all_that_was_known",),
+    ),
+    Mechanism(
+        2,
+        "requests at an upstream that started again end at once",
+        "relay_hosts.py",
+        "        self._pools.cut(before.key)\n",
+        "        pass\n",
+        (
+            f"{_RESTARTS}"
+            "test_request_at_an_upstream_that_starts_again_is_sent_on_at_once",
+        ),
+    ),
+    Mechanism(
+        9,
+        "an announcement of another service changes no known upstream",
+        "coordination/upstream_book.py",
+        "return has_both and heard.service != known.service",
+        "return False",
+        (f"{_RESTARTS}test_service_does_not_change_within_a_start",),
+    ),
+    Mechanism(
+        1,
+        "entry hosts tell callers where to connect while control hosts are down",
+        "coordination/control_desk.py",
+        "            reply.directory.CopyFrom(directory.to_message())\n",
+        "            pass\n",
+        (
+            "tests/relaying/test_directory.py::"
+            "test_entry_hosts_tell_it_while_all_control_hosts_are_down",
+        ),
+    ),
+    Mechanism(
+        8,
+        "a host's own clock is one vote on the true time",
+        "coordination/sync.py",
+        "return now + _middle(others, self._timers.wall() - now)",
+        "return self._timers.wall()",
+        (
+            "tests/relaying/test_clock_steps.py::"
+            "test_jumps_of_clocks_move_no_hosts_true_time",
+        ),
+    ),
+    Mechanism(
+        9,
+        "hosts place prompts by what others have sent, too",
+        "relay/choice.py",
+        "return own + self._others.unread_of(upstream)",
+        "return own",
+        (
+            "tests/relaying/test_shared_load.py::"
+            "test_small_prompts_avoid_what_reads_another_hosts_large_one",
+        ),
+    ),
+    Mechanism(
+        9,
+        "steady upstreams follow the mean of the work",
+        "coordination/scaling.py",
+        "needed_long = max(math.ceil(demand.mean), _LEAST)",
+        "needed_long = needed",
+        (
+            "tests/relaying/test_scaling.py::"
+            "test_steady_ones_follow_the_mean_when_zones_are_lost",
+        ),
+    ),
+    Mechanism(
+        9,
+        "a system that nobody has used gives back at once",
+        "coordination/ordering.py",
+        "state.is_unused = holder.is_first and not demand.peak",
+        "state.is_unused = False",
+        (f"{_ORDERING}test_start_of_a_system_gives_back_at_once_what_nobody_asks_for",),
+    ),
 )
