Lines tell what a host believes of each upstream, and by whose word

Cause: no host logged when it stopped counting on an upstream, so the incident's lines didn't tell whose silence it was. A refusal named neither its service nor, without a route, its target. Change: event upstream_state with the teller and the age of the latest announcement; service, upstreams left and target of a refusal; gauges of upstreams and of control hosts in reach. An unused method of the book is gone. No decision changes, but that an end which is concluded no longer counts as a new announcement of the upstream. Tests: tests/relaying/test_sight.py.

--- a/src/pepperstep/coordination/control_desk.py
+++ b/src/pepperstep/coordination/control_desk.py
@@ -257,7 +257,8 @@
     async def _on_notice(
         self, message: pb.UpstreamNotice, sender: str
     ) -> pb.UpstreamNoticeReply:
-        self._book.note(Announcement.from_message(message.upstream))
+        announcement = Announcement.from_message(message.upstream)
+        self._book.note(announcement, told_by=sender)
         return pb.UpstreamNoticeReply()
 
     async def _on_sync(self, request: pb.SyncRequest, sender: str) -> pb.SyncReply:
--- a/src/pepperstep/coordination/hints.py
+++ b/src/pepperstep/coordination/hints.py
@@ -55,7 +55,8 @@
             logging.warning("hints: The file can't be used: %s", error)
             return
         for message in hints.upstreams:
-            self._book.note(Announcement.from_message(message))
+            announcement = Announcement.from_message(message)
+            self._book.note(announcement, told_by=_FILE)
         self._desk.expect_entries(hints.entry_count)
         logging.info(
             "hints: Knows version %d and %d upstreams from before the start.",
--- a/src/pepperstep/coordination/sync.py
+++ b/src/pepperstep/coordination/sync.py
@@ -250,10 +250,12 @@
         source.answered_at = self._timers.now()
         way = max(0.0, source.answered_at - asked_at - reply.waited)
         source.wall_offset = reply.wall + way / 2 - source.answered_at
-        self._take(reply, source, way)
+        self._take(name, reply, source, way)
         return True
 
-    def _take(self, reply: pb.SyncReply, source: _Source, age: float) -> None:
+    def _take(
+        self, name: str, reply: pb.SyncReply, source: _Source, age: float
+    ) -> None:
         # Before the table, whose quotas are shared by so many.
         self.entry_count = max(1, reply.entry_count)
         self._take_table(reply)
@@ -264,7 +266,8 @@
             logging.info("sync: All hosts have started anew.")
             self.on_restart()
         for message in reply.upstreams:
-            self._book.note(Announcement.from_message(message), message.age + age)
+            announcement = Announcement.from_message(message)
+            self._book.note(announcement, message.age + age, name)
         source.version = reply.registry_version
         is_new_life = source.epoch != reply.registry_epoch
         source.epoch = reply.registry_epoch
--- a/src/pepperstep/coordination/upstream_book.py
+++ b/src/pepperstep/coordination/upstream_book.py
@@ -8,13 +8,14 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 import trio
 from absl import logging
 
 from pepperstep.coordination.records import Announcement
+from pepperstep.observability.decisions import UpstreamState
 
 __all__ = ["UpstreamBook"]
 
@@ -23,6 +24,10 @@
 # 8,192 of these in 49 minutes; announcements are late by seconds.
 _MAX_GONE = 8_192
 
+# Who told what is known of an upstream, where it's no other host.
+_ITSELF = "itself"
+_SILENCE = "silence"
+
 # Called with what is known of an upstream.
 Subscriber = Callable[[Announcement], None]
 
@@ -99,15 +104,24 @@
             if entry.version > version
         ]
 
-    def note(self, announcement: Announcement, age: float = 0.0) -> bool:
-        """Take in an announcement and return whether it changed anything."""
+    def working_count(self) -> int:
+        """Return how many upstreams of all services take work."""
+        return sum(each.announcement.takes_work for each in self._entries.values())
+
+    def note(
+        self, announcement: Announcement, age: float = 0.0, told_by: str = _ITSELF
+    ) -> bool:
+        """Take in an announcement and return whether it changed anything.
+
+        `told_by` names the host that passed it on, for the log.
+        """
         known = self._entries.get(announcement.id)
         heard_at = self._now() - age
         if known is None:
-            self._put(announcement, heard_at)
+            self._put(announcement, heard_at, told_by)
             return True
         if announcement.incarnation > known.announcement.incarnation:
-            self._restart(known.announcement, announcement, heard_at)
+            self._restart(known.announcement, announcement, heard_at, told_by)
             return True
         if _is_foreign(known.announcement, announcement):
             return False
@@ -116,34 +130,38 @@
         if _says_the_same(merged, known.announcement):
             known.announcement = merged
             return False
-        self._put(merged, known.heard_at)
+        self._put(merged, known.heard_at, told_by)
         return True
 
-    def note_all(self, announcements: Iterable[tuple[Announcement, float]]) -> None:
-        """Take in announcements, each with its age."""
-        for announcement, age in announcements:
-            self.note(announcement, age)
-
-    def note_gone(self, upstream: str, incarnation: int | None = None) -> None:
+    def note_gone(
+        self, upstream: str, incarnation: int | None = None, told_by: str = _ITSELF
+    ) -> None:
         """Take in that an upstream is gone, known or not.
 
         Without an incarnation, it's the latest that is known.
         """
         known = self.get(upstream)
+        age = 0.0
         if known is None:
             known = Announcement(upstream, service="", address="", zone="")
+        else:
+            age = self.age(upstream)
         if incarnation is None or incarnation == known.incarnation:
-            self.note(replace(known, is_gone=True))
+            self.note(replace(known, is_gone=True), age, told_by)
 
     def forget_silent(self, seconds: float) -> None:
         """Count upstreams as gone that were silent for longer."""
         limit = self._now() - seconds
         for entry in list(self._entries.values()):
             if entry.heard_at < limit and not entry.announcement.is_gone:
-                self.note_gone(entry.announcement.id)
+                self.note_gone(entry.announcement.id, told_by=_SILENCE)
 
     def _restart(
-        self, before: Announcement, announcement: Announcement, heard_at: float
+        self,
+        before: Announcement,
+        announcement: Announcement,
+        heard_at: float,
+        told_by: str,
     ) -> None:
         """Take in an upstream's later start, and drop what was known before."""
         logging.info(
@@ -153,14 +171,16 @@
             before.incarnation,
         )
         self._gone.pop(announcement.id, None)
-        self._put(announcement, heard_at)
+        self._put(announcement, heard_at, told_by)
         for subscriber in self._restart_subscribers:
             subscriber(before)
 
-    def _put(self, announcement: Announcement, heard_at: float) -> None:
+    def _put(self, announcement: Announcement, heard_at: float, told_by: str) -> None:
+        before = self.get(announcement.id)
         self.version += 1
         self._working.clear()
         self._entries[announcement.id] = _Entry(announcement, self.version, heard_at)
+        self._log_change(before, announcement, told_by)
         if announcement.is_gone:
             self._remember_gone(announcement.id)
         self._changed.set()
@@ -168,6 +188,26 @@
         for subscriber in self._subscribers:
             subscriber(announcement)
 
+    def _log_change(
+        self, before: Announcement | None, now: Announcement, told_by: str
+    ) -> None:
+        state_before = "" if before is None else _state_of(before)
+        is_same_life = before is not None and before.key == now.key
+        if is_same_life and state_before == _state_of(now):
+            return
+        event = UpstreamState(
+            upstream=now.id,
+            incarnation=now.incarnation,
+            service=now.service,
+            state=_state_of(now),
+            state_before=state_before,
+            told_by=told_by,
+            announcement=now.sequence,
+            announced_ms_ago=round(1000 * self.age(now.id)),
+            upstreams_version=self.version,
+        )
+        logging.info("book: %s", event)
+
     def _remember_gone(self, upstream: str) -> None:
         self._gone[upstream] = None
         while len(self._gone) > _MAX_GONE:
@@ -175,6 +215,12 @@
             self._entries.pop(oldest, None)
 
 
+def _state_of(announcement: Announcement) -> str:
+    if announcement.is_gone:
+        return "gone"
+    return "leaving" if announcement.is_leaving else "working"
+
+
 def _is_foreign(known: Announcement, heard: Announcement) -> bool:
     """Whether an announcement isn't of the incarnation and service that are known."""
     if heard.incarnation < known.incarnation:
--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -16,6 +16,7 @@
     "RequestFailed",
     "RequestRefused",
     "TableInForce",
+    "UpstreamState",
     "UpstreamsPlanned",
     "UsageReported",
     "ZonePlan",
@@ -71,6 +72,11 @@
     prompt_tokens: int = 0
     # Whether the answer had begun and was broken off.
     was_begun: bool = False
+    # The service that it was for, and how many of its upstreams this host counts on.
+    service: str = ""
+    upstreams: int = 0
+    # Where no route led, the host and path that were asked for.
+    target: str = ""
 
 
 class QuotaExceeded(Decision, tag="quota_exceeded"):
@@ -115,6 +121,23 @@
     workspaces: int
 
 
+class UpstreamState(Decision, tag="upstream_state"):
+    """What this host believes of an upstream has changed."""
+
+    upstream: str
+    incarnation: int
+    service: str
+    # "working", "leaving" or "gone"; empty before it was known.
+    state: str
+    state_before: str
+    # By whose word: a host's name, or what it was concluded from.
+    told_by: str
+    # The upstream's latest announcement, and its age.
+    announcement: int
+    announced_ms_ago: int
+    upstreams_version: int
+
+
 class DutyTaken(Decision, tag="duty_taken"):
     """This host acts for the whole system from now on."""
 
--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -34,6 +34,8 @@
 _SEND_SECONDS = 1.0
 _FIRST_SERVER_ERROR = 500
 _MISDIRECTED = 421
+# What an upstream's end was concluded from: another one answers at its address.
+_ANSWER = "answer"
 
 
 class Outcome(enum.StrEnum):
@@ -234,7 +236,7 @@
         attempt.note_failed(upstream.id, f"refused with {head.status}")
         if facts.other_upstream and facts.other_upstream != upstream.id:
             # The address belongs to another upstream by now.
-            self._book.note_gone(upstream.id, upstream.incarnation)
+            self._book.note_gone(upstream.id, upstream.incarnation, _ANSWER)
         attempt.retry_after = max(attempt.retry_after, facts.retry_after)
         return Outcome.NOT_RUN
 
--- a/src/pepperstep/relay/journal.py
+++ b/src/pepperstep/relay/journal.py
@@ -13,7 +13,7 @@
 )
 from pepperstep.observability.relay_metrics import RelayMetrics
 from pepperstep.ports import Timers
-from pepperstep.ports.exchange import Exchange
+from pepperstep.ports.exchange import Exchange, RequestHead
 from pepperstep.relay.attempt import Attempt
 from pepperstep.relay.choice import Choice
 from pepperstep.relay.quotas import QuotaState
@@ -21,6 +21,9 @@
 __all__ = ["RelayJournal"]
 
 _NO_CLASS = "none"
+# Characters of a request's target in a line: routes' hosts and prefixes are shorter,
+# and callers may send targets without end.
+_MAX_TARGET = 120
 
 
 class RelayJournal:
@@ -124,13 +127,26 @@
             workspace=workspace,
             was_begun=exchange.has_begun,
             prompt_tokens=0 if attempt is None else attempt.facts.prompt_tokens,
+            service="" if attempt is None else attempt.service.name,
+            upstreams=0 if attempt is None else self._count_upstreams(attempt),
+            target=target_of(exchange.head) if attempt is None else "",
         )
         logging.info("relay: %s", event)
 
+    def _count_upstreams(self, attempt: Attempt) -> int:
+        return len(self._book.working(attempt.service.name))
+
     def _age(self, exchange: Exchange) -> int:
         return round(1000 * (self._timers.now() - exchange.arrived_at))
 
 
+def target_of(head: RequestHead) -> str:
+    """Return the host and path that a caller asks for, cut where they are long."""
+    host = head.first(b"host").decode("latin-1")
+    path = head.target.decode("latin-1").partition("?")[0]
+    return f"{host}{path}"[:_MAX_TARGET]
+
+
 def class_of(attempt: Attempt) -> str:
     """Return the class of a request: its kind and urgency."""
     route = attempt.route
--- a/src/pepperstep/relay_hosts.py
+++ b/src/pepperstep/relay_hosts.py
@@ -199,6 +199,7 @@
         watch = self.metrics.watch
         watch("routes_version", "In force.", lambda: self.tables.current.version)
         watch("control_hosts", "In reach.", lambda: len(self.sync.reached))
+        watch("upstreams", "That take work.", self.book.working_count)
         watch("ready", "1 if callers are told of it.", lambda: self.is_ready)
 
     def _takes_streams(self) -> bool:
@@ -349,6 +350,8 @@
         watch("is_leader", "1 on the leader.", lambda: self.agreement.is_leader)
         watch("term", "Term of the log.", lambda: self.agreement.term)
         watch("entry_hosts", "In contact.", lambda: self.desk.entry_count)
+        watch("control_hosts", "In reach.", lambda: len(self.sync.reached))
+        watch("upstreams", "That take work.", self.book.working_count)
 
     def _make_reporter(self, ports: RelayPorts) -> UsageReporter | None:
         if ports.ledger is None:
--- /dev/null
+++ b/tests/relaying/test_sight.py
@@ -0,0 +1,97 @@
+"""What the lines and metrics tell of upstreams that a host counts on, or doesn't."""
+
+import pytest
+import trio
+from absl import logging
+
+from pepperstep.fakes.relaying import Reply
+from pepperstep.observability.decisions import RequestRefused, UpstreamState
+from pepperstep.ports.exchange import AnswerHead
+from tests.relaying.world import open_world, request
+
+
+@pytest.fixture
+def events(monkeypatch):
+    """Give the events that all hosts of a world log."""
+    kept = []
+
+    def keep(text: str, event: object = None, *_: object) -> None:
+        kept.append(event)
+
+    monkeypatch.setattr(logging, "info", keep)
+    return kept
+
+
+def states(events: list) -> set[tuple[str, str, str]]:
+    """Return each logged change of an upstream's state, and by whose word."""
+    changes = [each for each in events if isinstance(each, UpstreamState)]
+    return {(each.state_before, each.state, each.told_by) for each in changes}
+
+
+async def test_lines_say_by_whose_word_an_upstream_is_gone(autojump_clock, events):
+    async with open_world() as world:
+        await world.announce("c0:1", "u1", "plain")
+        await trio.sleep(1.0)
+        assert ("", "working", "itself") in states(events)
+        assert ("", "working", "c0:1") in states(events)
+        events.clear()
+        await world.controls["c1:1"].note_gone("u1")
+        await trio.sleep(1.0)
+        assert ("working", "gone", "itself") in states(events)
+        assert ("working", "gone", "c1:1") in states(events)
+
+
+async def test_line_tells_how_old_the_last_announcement_is(autojump_clock, events):
+    async with open_world() as world:
+        await world.announce("c0:1", "u1", "plain", sequence=7)
+        await trio.sleep(3.0)
+        await world.controls["c1:1"].note_gone("u1")
+        gone = [
+            each
+            for each in events
+            if isinstance(each, UpstreamState) and each.state == "gone"
+        ]
+        assert gone[0].announcement == 7
+        assert 2_900 <= gone[0].announced_ms_ago <= 3_100
+
+
+async def test_line_names_that_another_one_answers(autojump_clock, events):
+    headers = (
+        (b"pepperstep-attempt-id", b"id-1"),
+        (b"pepperstep-replica-id", b"u2"),
+    )
+    other = AnswerHead(421, headers)
+    async with open_world() as world:
+        world.connector.scripts["u1:80"] = lambda sent: Reply(other)
+        await world.announce("c0:1", "u1", "plain")
+        await trio.sleep(1.0)
+        await world.ask("e0:1", request("/unsafe/1"))
+        assert ("working", "gone", "answer") in states(events)
+
+
+async def test_refusal_tells_its_service_and_what_is_left_of_it(autojump_clock, events):
+    async with open_world() as world:
+        await world.announce("c0:1", "u1", "model")
+        await trio.sleep(1.0)
+        await world.ask("e0:1", request("/unsafe/1"))
+        [refused] = [each for each in events if isinstance(each, RequestRefused)]
+        assert (refused.service, refused.upstreams, refused.target) == ("plain", 0, "")
+
+
+async def test_refusal_tells_what_no_route_led_to(autojump_clock, events):
+    async with open_world() as world:
+        await world.ask("e0:1", request("/nowhere/1?key=secret"))
+        await world.ask("e0:1", request("/nowhere/" + 200 * "x"))
+        refused = [each for each in events if isinstance(each, RequestRefused)]
+        assert refused[0].target == "a.example/nowhere/1"
+        assert len(refused[1].target) == 120
+
+
+async def test_metrics_count_the_upstreams_that_take_work(autojump_clock):
+    async with open_world() as world:
+        await world.announce("c0:1", "u1", "plain")
+        await world.announce("c0:1", "u2", "plain")
+        await world.controls["c0:1"].note_gone("u2")
+        await trio.sleep(1.0)
+        for host in [*world.controls.values(), *world.entries.values()]:
+            assert "pepperstep_upstreams 1.0" in host.metrics.render().decode()
