--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,29 @@
+"""The list of tests that are passed over is short, whole and exact."""
+
+import pytest
+
+from tests.known_red import find_known_red, read_known_red
+
+LINE = "tests/a.py::test_b | a cause | a command | what was seen | 7"
+
+
+def test_line_names_one_test_with_all_its_parameters():
+    listed = read_known_red(LINE + "\n\n")
+    assert find_known_red("tests/a.py::test_b", listed).issue == "7"
+    assert find_known_red("tests/a.py::test_b[x-1]", listed).cause == "a cause"
+    assert find_known_red("tests/a.py::test_bc", listed) is None
+    assert find_known_red("tests/a.py", listed) is None
+
+
+@pytest.mark.parametrize(
+    "text", ["tests/a.py::test_b", LINE + " | more", "a | b | | d"]
+)
+def test_line_that_is_not_whole_is_an_error(text):
+    with pytest.raises(ValueError):
+        read_known_red(text)
+
+
+def test_more_than_three_lines_are_an_error():
+    read_known_red("\n".join([LINE] * 3))
+    with pytest.raises(ValueError):
+        read_known_red("\n".join([LINE] * 4))
