Entry hosts count and tell all entry hosts that any control host hears

Number of hosts that share quotas and directory were taken from the latest answer of any control host; one that is cut off hears few entry hosts. Change: the number is the highest of the control hosts that answer; a directory of a host that isn't in contact with most others counts only where no other one answers.

--- a/src/pepperstep/coordination/control_desk.py
+++ b/src/pepperstep/coordination/control_desk.py
@@ -79,6 +79,7 @@
         book: UpstreamBook,
         control_hosts: Callable[[], list[str]],
         epoch: int,
+        is_in_contact: Callable[[], bool] = lambda: True,
     ):
         self._name = name
         self._peers = peers
@@ -87,6 +88,7 @@
         self._book = book
         self._control_hosts = control_hosts
         self._epoch = epoch
+        self._is_in_contact = is_in_contact
         # By name and incarnation, so that counts of an ended life stay.
         self._entries: dict[tuple[str, int], EntryHost] = {}
         # Entry hosts that were in contact when that was last looked at.
@@ -279,6 +281,7 @@
             entry_count=self.entry_count,
             has_all_restarted=self.has_all_restarted,
             wall=self._timers.wall(),
+            is_in_contact=self._is_in_contact(),
         )
         if request.table_version < self._tables.current.version:
             reply.table = self._tables.document
--- a/src/pepperstep/coordination/sync.py
+++ b/src/pepperstep/coordination/sync.py
@@ -80,6 +80,9 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     # Its Unix time less this host's monotonic time, None before its first answer.
     wall_offset: float | None = None
+    # Entry hosts that it counts, and whether it hears most control hosts.
+    entry_count: int = 0
+    is_in_contact: bool = False
 
 
 class Sync:
@@ -259,10 +262,9 @@
         self, name: str, reply: pb.SyncReply, source: _Source, age: float
     ) -> None:
         # Before the table, whose quotas are shared by so many.
-        self.entry_count = max(1, reply.entry_count)
+        self._take_entry_count(reply, source)
         self._take_table(reply)
-        if reply.HasField("directory"):
-            self.directory = Directory.from_message(reply.directory)
+        self._take_directory(reply, source)
         if reply.has_all_restarted and not self.knows_restart:
             self.knows_restart = True
             logging.info("sync: All hosts have started anew.")
@@ -277,6 +279,29 @@
         self.on_reply(name, reply, age)
         self._take_control_hosts(reply)
 
+    def _take_entry_count(self, reply: pb.SyncReply, source: _Source) -> None:
+        """Count as many entry hosts as any control host does that answers.
+
+        One that's cut off counts fewer. By the latest answer alone, an entry host
+        beside it took the whole of what four hosts share.
+        """
+        source.entry_count = reply.entry_count
+        counts = (self._sources[name].entry_count for name in self.reached)
+        self.entry_count = max(1, *counts)
+
+    def _take_directory(self, reply: pb.SyncReply, source: _Source) -> None:
+        """Take in where callers connect.
+
+        A control host that's cut off from most others may hear of few entry hosts;
+        it's believed where no other one answers.
+        """
+        source.is_in_contact = reply.is_in_contact
+        if not reply.HasField("directory"):
+            return
+        in_contact = (self._sources[name].is_in_contact for name in self.reached)
+        if reply.is_in_contact or not any(in_contact):
+            self.directory = Directory.from_message(reply.directory)
+
     def _take_table(self, reply: pb.SyncReply) -> None:
         if not reply.table:
             return
--- a/src/pepperstep/relay_hosts.py
+++ b/src/pepperstep/relay_hosts.py
@@ -296,6 +296,7 @@
             self.book,
             self._control_hosts,
             epoch=ports.rng.getrandbits(48),
+            is_in_contact=self._is_in_contact,
         )
         self.sync = Sync(
             self._peer_name,
