--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -10,6 +10,9 @@
 _ORDERING = "tests/relaying/test_ordering.py::"
 _PLACEMENT = "tests/relaying/test_placement.py::"
 _QUOTAS = "tests/relaying/test_quota_windows.py::"
+_PARTIAL = "tests/relaying/test_partial_views.py::"
+_SILENCE = "tests/relaying/test_silence.py::"
+_SILENT = "tests/relaying/test_silent_upstreams.py::"
 _RESTARTS = "tests/relaying/test_upstream_restarts.py::"
 
 RELAY_MECHANISMS = (
@@ -131,6 +134,57 @@
         "silent = []",
         (f"{_GROUP}test_host_at_another_address_takes_the_place_of_one_gone",),
     ),
+    Mechanism(
+        9,
+        "a control host judges silence only while it's in contact",
+        "coordination/silence.py",
+        "if was_frozen or not self._is_in_contact():",
+        "if was_frozen:",
+        (f"{_SILENCE}test_host_without_contact_judges_nothing_nor_right_after",),
+    ),
+    Mechanism(
+        9,
+        "a host that was frozen judges no silence at first",
+        "coordination/silence.py",
+        "if was_frozen or not self._is_in_contact():",
+        "if not self._is_in_contact():",
+        (f"{_SILENCE}test_host_that_was_frozen_judges_nothing_right_after",),
+    ),
+    Mechanism(
+        9,
+        "one control host that hears an upstream keeps it in use",
+        "coordination/silence.py",
+        "common = set.intersection(*(vote.silent for vote in self._votes.values()))",
+        "common = set.union(*(vote.silent for vote in self._votes.values()))",
+        (f"{_SILENT}test_upstreams_stay_in_use_while_a_control_host_is_cut_off",),
+    ),
+    Mechanism(
+        9,
+        "an announcement ends an upstream's silence",
+        "coordination/upstream_book.py",
+        "if heard_at > self._silent.get(announcement.key, math.inf):",
+        "if False:",
+        (f"{_SILENCE}test_announcement_ends_silence_at_once",),
+    ),
+    Mechanism(
+        8,
+        "the control host that counts most entry hosts is believed",
+        "coordination/sync.py",
+        "        self.entry_count = max(1, *counts)\n",
+        "        self.entry_count = max(1, reply.entry_count)\n",
+        (
+            f"{_PARTIAL}"
+            "test_entry_hosts_share_quotas_by_all_that_any_control_host_hears",
+        ),
+    ),
+    Mechanism(
+        9,
+        "a control host without contact doesn't rule the directory",
+        "coordination/sync.py",
+        "        if reply.is_in_contact or not any(in_contact):\n",
+        "        if True:\n",
+        (f"{_PARTIAL}test_callers_are_told_of_all_entry_hosts",),
+    ),
     Mechanism(
         8,
         "a reserve of the quota for what hosts don't know yet",
