What control hosts know of entry hosts stands in a module of its own

Change: EntryBook keeps reports and counts; usage, orders and the hints file ask it and no longer the desk. Moves and renames only; two tests name the new place.

--- a/src/pepperstep/coordination/__init__.py
+++ b/src/pepperstep/coordination/__init__.py
@@ -3,6 +3,7 @@
 from pepperstep.coordination.control_desk import ControlDesk
 from pepperstep.coordination.directory import Directory
 from pepperstep.coordination.duty import Duty
+from pepperstep.coordination.entry_book import EntryBook
 from pepperstep.coordination.ordering import Ordering
 from pepperstep.coordination.records import (
     Announcement,
@@ -27,6 +28,7 @@
     "ControlDesk",
     "Directory",
     "Duty",
+    "EntryBook",
     "EntryReport",
     "Ordering",
     "ServiceWork",
--- a/src/pepperstep/coordination/hints.py
+++ b/src/pepperstep/coordination/hints.py
@@ -10,7 +10,7 @@
 from absl import logging
 from google.protobuf.message import DecodeError
 
-from pepperstep.coordination.control_desk import ControlDesk
+from pepperstep.coordination.entry_book import EntryBook
 from pepperstep.coordination.records import Announcement
 from pepperstep.coordination.tables import TableStore
 from pepperstep.coordination.upstream_book import UpstreamBook
@@ -33,13 +33,13 @@
         storage: Storage,
         tables: TableStore,
         book: UpstreamBook,
-        desk: ControlDesk,
+        entries: EntryBook,
         timers: Timers,
     ):
         self._storage = storage
         self._tables = tables
         self._book = book
-        self._desk = desk
+        self._entries = entries
         self._timers = timers
         self._written = (0, 0, 0)
 
@@ -57,7 +57,7 @@
         for message in hints.upstreams:
             announcement = Announcement.from_message(message)
             self._book.note(announcement, told_by=_FILE)
-        self._desk.expect_entries(hints.entry_count)
+        self._entries.expect(hints.entry_count)
         logging.info(
             "hints: Knows version %d and %d upstreams from before the start.",
             hints.table_version,
@@ -70,7 +70,7 @@
             state = (
                 self._tables.current.version,
                 self._book.version,
-                self._desk.entry_count,
+                self._entries.count,
             )
             if state == self._written or not self._tables.is_known:
                 continue
@@ -90,6 +90,6 @@
                 for each in self._book.all()
                 if not (each.is_gone or each.key in self._book.silent)
             ],
-            entry_count=self._desk.entry_count,
+            entry_count=self._entries.count,
         )
         return hints.SerializeToString()
--- a/src/pepperstep/coordination/ordering.py
+++ b/src/pepperstep/coordination/ordering.py
@@ -5,8 +5,8 @@
 
 from absl import logging
 
-from pepperstep.coordination.control_desk import ControlDesk
 from pepperstep.coordination.duty import Duty, Holder
+from pepperstep.coordination.entry_book import EntryBook
 from pepperstep.coordination.order_state import OrderState
 from pepperstep.coordination.scaling import (
     Demand,
@@ -44,7 +44,7 @@
         duty: Duty,
         orders: UpstreamOrders,
         tables: TableStore,
-        desk: ControlDesk,
+        entries: EntryBook,
         book: UpstreamBook,
         zones: Callable[[], tuple[str, ...]],
         timers: Timers,
@@ -52,7 +52,7 @@
         self._duty = duty
         self._orders = orders
         self._tables = tables
-        self._desk = desk
+        self._entries = entries
         self._book = book
         self._zones = zones
         self._timers = timers
@@ -123,7 +123,7 @@
         return plan_counts(demand, bounds, zones, state.dry_zones, standing, coming)
 
     def _note_demand(self, service: str, now: float) -> Demand:
-        present = upstreams_for(self._desk.work_of(service))
+        present = upstreams_for(self._entries.work_of(service))
         demands = self._demands.setdefault(service, deque())
         demands.append((now, present))
         while demands[0][0] < now - _DEMAND_SECONDS:
--- a/src/pepperstep/coordination/usage.py
+++ b/src/pepperstep/coordination/usage.py
@@ -10,8 +10,8 @@
 
 from absl import logging
 
-from pepperstep.coordination.control_desk import ControlDesk
 from pepperstep.coordination.duty import Duty
+from pepperstep.coordination.entry_book import EntryBook
 from pepperstep.coordination.records import counts_to_messages, messages_to_counts
 from pepperstep.errors import Failure
 from pepperstep.observability.decisions import UsageReported
@@ -81,7 +81,7 @@
         duty: Duty,
         window: float,
         agreement: Agreement,
-        desk: ControlDesk,
+        entries: EntryBook,
         ledger: UsageLedger,
         timers: Timers,
         wall: Callable[[], float],
@@ -89,7 +89,7 @@
         self._duty = duty
         self._window = window
         self._agreement = agreement
-        self._desk = desk
+        self._entries = entries
         self._ledger = ledger
         self._timers = timers
         self._wall = wall
@@ -111,7 +111,7 @@
 
     async def _report(self, window: int) -> bool:
         """Commit and report one window; return whether that's done."""
-        command = _command(window, self._desk.counts_of(window))
+        command = _command(window, self._entries.counts_of(window))
         try:
             data = await self._agreement.propose(
                 USAGE_MACHINE, command.SerializeToString(), _PROPOSE_SECONDS
@@ -137,7 +137,7 @@
             report.fence,
             sum(counts.values()),
             len(counts),
-            self._desk.lives_counting(window),
+            self._entries.lives_counting(window),
         )
         logging.info("usage: %s", event)
         return True
--- a/src/pepperstep/relay_hosts.py
+++ b/src/pepperstep/relay_hosts.py
@@ -14,6 +14,7 @@
     ControlDesk,
     Directory,
     Duty,
+    EntryBook,
     EntryReport,
     Ordering,
     Sync,
@@ -288,12 +289,14 @@
         self.agreement.register(TABLE_MACHINE, self.machine)
         self.agreement.register(USAGE_MACHINE, self._usage)
         self.book = UpstreamBook(ports.timers.now)
+        self.entries = EntryBook(ports.timers.now)
         self.desk = ControlDesk(
             self._peer_name,
             ports.peers,
             ports.timers,
             self.tables,
             self.book,
+            self.entries,
             self._control_hosts,
             epoch=ports.rng.getrandbits(48),
             is_in_contact=self._is_in_contact,
@@ -309,7 +312,7 @@
         self.sync.on_reply = self.desk.absorb
         self._silence = SilenceJudge(self.book, ports.timers.now, self._is_in_contact)
         self._hints = Hints(
-            ports.storage, self.tables, self.book, self.desk, ports.timers
+            ports.storage, self.tables, self.book, self.entries, ports.timers
         )
         self._duty = Duty(
             settings.host, self.agreement, ports.timers, settings.bounds.duty_lease
@@ -354,7 +357,7 @@
 
     def entry_addresses(self, zone: str) -> list[str]:
         """Return addresses for callers, those of their availability zone first."""
-        directory = Directory.from_reports(self.desk.ready_entries(), zone)
+        directory = Directory.from_reports(self.entries.ready(), zone)
         return directory.addresses(zone)
 
     def _control_hosts(self) -> list[str]:
@@ -371,7 +374,7 @@
         watch("routes_version", "In force.", lambda: self.tables.current.version)
         watch("is_leader", "1 on the leader.", lambda: self.agreement.is_leader)
         watch("term", "Term of the log.", lambda: self.agreement.term)
-        watch("entry_hosts", "In contact.", lambda: self.desk.entry_count)
+        watch("entry_hosts", "In contact.", lambda: self.entries.count)
         watch("control_hosts", "In reach.", lambda: len(self.sync.reached))
         watch("upstreams", "That take work.", self.book.working_count)
 
@@ -382,7 +385,7 @@
             self._duty,
             self._settings.bounds.usage_window,
             self.agreement,
-            self.desk,
+            self.entries,
             ports.ledger,
             ports.timers,
             lambda: self.sync.true_time,
@@ -395,7 +398,7 @@
             self._duty,
             ports.orders,
             self.tables,
-            self.desk,
+            self.entries,
             self.book,
             lambda: self._settings.zones,
             ports.timers,
@@ -405,4 +408,4 @@
         async for _ in self._timers.subscribe(_TIDY_SECONDS):
             self._silence.look()
             self.book.forget_silent(_FORGET_SECONDS)
-            self.desk.note_contacts()
+            self.entries.note_contacts()
--- a/tests/relaying/test_coordination.py
+++ b/tests/relaying/test_coordination.py
@@ -147,7 +147,7 @@
         for entry in world.entries.values():
             assert entry.tables.current.version == 2
             assert [each.id for each in entry.book.working("plain")] == ["u1"]
-        assert {host.desk.entry_count for host in world.controls.values()} == {4}
+        assert {host.entries.count for host in world.controls.values()} == {4}
 
 
 async def test_next_control_host_is_asked_for_one_that_is_gone(autojump_clock):
@@ -180,7 +180,7 @@
             await world.start_control(name, seeds, is_first=False)
         await trio.sleep(0.2)
         # What is allowed is shared by all, though not all have come back.
-        assert world.controls["c0:1"].desk.entry_count == 3
+        assert world.controls["c0:1"].entries.count == 3
         await trio.sleep(2.0)
         assert {host.sync.knows_restart for host in hosts} == {not stays}
 
--- a/tests/relaying/test_directory.py
+++ b/tests/relaying/test_directory.py
@@ -83,6 +83,6 @@
 
 async def test_no_more_is_told_than_callers_take(autojump_clock):
     async with open_world() as world:
-        reports = world.controls["c0:1"].desk.ready_entries() * MAX_ADDRESSES
+        reports = world.controls["c0:1"].entries.ready() * MAX_ADDRESSES
         told = Directory.from_reports(reports, "z1")
         assert len(told.entries) == MAX_ADDRESSES
