--- a/src/pepperstep/consensus/node.py
+++ b/src/pepperstep/consensus/node.py
@@ -220,6 +220,10 @@
         """Return the names of all members that this host knows."""
         return [identity.name for identity in self._replica.membership.members]
 
+    def voters(self) -> list[str]:
+        """Return the names of the voters that this host knows."""
+        return [identity.name for identity in self._replica.membership.voters]
+
     @property
     def _has_lease(self) -> bool:
         return self._leadership is not None and self._leadership.has_lease
