What a control host called silent counts again once it answers again

An entry host that missed a control host for 20 s dropped its votes, though the next answer tells only what has changed; upstreams that had ended came back in use there for good. The vote of an upstream's earlier start was never dropped, too. Change: votes are kept by id while their control host doesn't answer, and don't count meanwhile. Contact of a control host stands in a module of its own. Tests: two in test_silence.py, which failed before.

--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -7,6 +7,7 @@
 _RELAY = "tests/relaying/test_relay.py::"
 _COORDINATION = "tests/relaying/test_coordination.py::"
 _GROUP = "tests/relaying/test_group.py::"
+_LOST = "tests/relaying/test_lost_contact.py::"
 _ORDERING = "tests/relaying/test_ordering.py::"
 _PLACEMENT = "tests/relaying/test_placement.py::"
 _QUOTAS = "tests/relaying/test_quota_windows.py::"
@@ -154,10 +155,29 @@
         9,
         "one control host that hears an upstream keeps it in use",
         "coordination/silence.py",
-        "common = set.intersection(*(vote.silent for vote in self._votes.values()))",
-        "common = set.union(*(vote.silent for vote in self._votes.values()))",
+        "set(first).intersection(*others)",
+        "set(first).union(*others)",
         (f"{_SILENT}test_upstreams_stay_in_use_while_a_control_host_is_cut_off",),
     ),
+    Mechanism(
+        9,
+        "what a control host called silent counts again once it answers again",
+        "coordination/silence.py",
+        "if vote is None or vote.epoch != reply.registry_epoch:",
+        "if vote is None or self._now() - vote.answered_at > _SILENCE_SECONDS:",
+        (
+            f"{_SILENCE}"
+            "test_control_host_that_answers_again_has_said_what_it_said_before",
+        ),
+    ),
+    Mechanism(
+        7,
+        "a control host that is cut off refuses changes at once",
+        "relay_hosts.py",
+        "        self._contact.check()\n        await propose_table",
+        "        await propose_table",
+        (f"{_LOST}test_host_that_is_cut_off_refuses_at_once",),
+    ),
     Mechanism(
         9,
         "an announcement ends an upstream's silence",
--- a/src/pepperstep/coordination/silence.py
+++ b/src/pepperstep/coordination/silence.py
@@ -68,7 +68,9 @@
 
     epoch: int
     answered_at: float
-    silent: set[UpstreamKey] = field(default_factory=set)
+    # Incarnations of the upstreams that it calls silent, by id. Kept while it doesn't
+    # answer: its next answer tells only what has changed.
+    silent: dict[str, int] = field(default_factory=dict)
 
 
 class SilenceVotes:
@@ -90,23 +92,25 @@
             vote = self._votes[control_host] = _Vote(reply.registry_epoch, self._now())
         vote.answered_at = self._now()
         for message in reply.upstreams:
-            key = (message.id, message.incarnation)
             if message.is_silent:
-                vote.silent.add(key)
+                vote.silent[message.id] = message.incarnation
             else:
-                vote.silent.discard(key)
+                vote.silent.pop(message.id, None)
         self._count()
 
     def forget(self, upstream: UpstreamKey) -> None:
         """Drop what was told of an upstream that is forgotten."""
+        name, incarnation = upstream
         for vote in self._votes.values():
-            vote.silent.discard(upstream)
+            if vote.silent.get(name) == incarnation:
+                del vote.silent[name]
 
     def _count(self) -> None:
         """Count the votes of those that would have heard of an upstream lately."""
         limit = self._now() - _SILENCE_SECONDS
-        for name, vote in list(self._votes.items()):
-            if vote.answered_at < limit:
-                del self._votes[name]
-        common = set.intersection(*(vote.silent for vote in self._votes.values()))
-        self._book.set_silent(common, _VOTES)
+        first, *others = (
+            vote.silent.items()
+            for vote in self._votes.values()
+            if vote.answered_at >= limit
+        )
+        self._book.set_silent(set(first).intersection(*others), _VOTES)
--- a/src/pepperstep/relay_hosts.py
+++ b/src/pepperstep/relay_hosts.py
@@ -25,6 +25,7 @@
     UsageReporter,
     propose_table,
 )
+from pepperstep.coordination.contact import Contact
 from pepperstep.coordination.hints import Hints
 from pepperstep.coordination.silence import SilenceJudge, SilenceVotes
 from pepperstep.coordination.tables import Decoder
@@ -58,9 +59,6 @@
 # another host.
 _PROPOSE_SECONDS = 0.9
 _READ_SECONDS = 0.8
-# Time after a start for which what needs the other control hosts waits for them, in
-# seconds: after a loss of power they come back within two seconds of each other.
-_FORMING_SECONDS = 5.0
 # Time for which an upstream that counts as silent is kept in mind, in seconds: what
 # is told of it meanwhile isn't news. 10,000 upstreams of which one in a hundred
 # crashes in an hour leave 17 of these.
@@ -272,7 +270,6 @@
     def __init__(self, settings: RelaySettings, ports: RelayPorts):
         self._settings = settings
         self._timers = ports.timers
-        self._started_at = ports.timers.now()
         self._peer_name = settings.peer_address
         control = settings.control
         is_first = control.forms_group and self._peer_name in settings.seeds
@@ -294,27 +291,33 @@
         self.agreement.register(USAGE_MACHINE, self._usage)
         self.book = UpstreamBook(ports.timers.now)
         self.entries = EntryBook(ports.timers.now)
-        self.desk = ControlDesk(
+        self.sync = Sync(
             self._peer_name,
+            settings.seeds,
             ports.peers,
             ports.timers,
             self.tables,
             self.book,
-            self.entries,
-            self._control_hosts,
-            epoch=ports.rng.getrandbits(48),
-            is_in_contact=self._is_in_contact,
         )
-        self.sync = Sync(
+        self._contact = Contact(
+            self._peer_name,
+            self.agreement.voters,
+            lambda: self.sync.reached,
+            ports.timers.now,
+        )
+        self.desk = ControlDesk(
             self._peer_name,
-            settings.seeds,
             ports.peers,
             ports.timers,
             self.tables,
             self.book,
+            self.entries,
+            self._control_hosts,
+            epoch=ports.rng.getrandbits(48),
+            is_in_contact=self._contact.is_held,
         )
         self.sync.on_reply = self.desk.absorb
-        self._silence = SilenceJudge(self.book, ports.timers.now, self._is_in_contact)
+        self._silence = SilenceJudge(self.book, ports.timers.now, self._contact.is_held)
         self._hints = Hints(
             ports.storage, self.tables, self.book, self.entries, ports.timers
         )
@@ -341,13 +344,13 @@
 
     async def put_table(self, version: int, document: bytes) -> None:
         """Return once the document is agreed on, or known as not higher."""
-        self._check_contact()
+        self._contact.check()
         await propose_table(self.agreement, version, document, _PROPOSE_SECONDS)
         logging.info("control: Acknowledges version %d of the routes.", version)
 
     async def read_table(self) -> bytes:
         """Return the newest agreed document."""
-        self._check_contact()
+        self._contact.check()
         await self.agreement.barrier(_READ_SECONDS)
         if not self.machine.version:
             raise Failure(Code.NOT_READY, "There are no routes yet.")
@@ -369,24 +372,6 @@
     def _control_hosts(self) -> list[str]:
         return sorted({self._peer_name, *self.agreement.members()})
 
-    def _is_in_contact(self) -> bool:
-        """Whether most voters of the log answer, this host counted if it's one."""
-        voters = set(self.agreement.voters())
-        answering = {self._peer_name, *self.sync.reached} & voters
-        return 2 * len(answering) > len(voters)
-
-    def _check_contact(self) -> None:
-        """Raise `Failure` with `NO_QUORUM` where most control hosts are out of reach.
-
-        Who asks goes to the next host at once: waiting here for an answer that can't
-        come cost operators 0.9 s a try, and two tries in three while one of three
-        control hosts was cut off.
-        """
-        uptime = self._timers.now() - self._started_at
-        if uptime >= _FORMING_SECONDS and not self._is_in_contact():
-            text = "Most control hosts are out of reach."
-            raise Failure(Code.NO_QUORUM, text)
-
     def _watch_gauges(self) -> None:
         watch = self.metrics.watch
         watch("routes_version", "In force.", lambda: self.tables.current.version)
--- a/tests/relaying/test_silence.py
+++ b/tests/relaying/test_silence.py
@@ -192,6 +192,17 @@
     assert voted.is_silent
 
 
+def test_control_host_that_answers_again_has_said_what_it_said_before():
+    """Its answers tell only what has changed since its last one."""
+    voted = Voted()
+    for control_host in ("c0", "c1"):
+        voted.votes.note_answer(control_host, answer(u1=True))
+    voted.clock.time += 25.0
+    voted.votes.note_answer("c1", answer())
+    voted.votes.note_answer("c0", answer())
+    assert voted.is_silent
+
+
 def test_restarted_control_host_has_said_nothing_yet():
     voted = Voted()
     voted.votes.note_answer("c0", answer(u1=True))
@@ -237,6 +248,20 @@
                 assert working(host) == []
 
 
+async def test_entry_host_that_missed_a_control_host_keeps_to_what_all_say(
+    autojump_clock,
+):
+    async with open_world() as world:
+        await announce_once_and_fall_silent(world)
+        world.network.cut("e0:1", "c2:1")
+        world.network.cut("c2:1", "e0:1")
+        await trio.sleep(25.0)
+        world.network.heal()
+        for _ in range(50):
+            await trio.sleep(0.1)
+            assert working(world.entries["e0:1"]) == []
+
+
 async def test_entry_host_that_starts_learns_which_upstreams_are_silent(
     autojump_clock,
 ):
