What a control host out of reach heard last isn't called silent soon

Cause: the mend's votes reach only as far as the three control hosts that an entry host asks. With six of them and one cut off for 26 s, entry hosts lost the upstreams that announced themselves there; and where upstreams are ordered, they were missing at any number of control hosts. Change: each announcement carries the control host that it came to; one whose host is out of reach is called silent after 300 s in place of 20 s. Votes stay: an upstream that goes over to the host that's cut off was heard last by another one.

--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -139,7 +139,7 @@
         9,
         "a control host judges silence only while it's in contact",
         "coordination/silence.py",
-        "if was_frozen or not self._is_in_contact():",
+        "if was_frozen or not self._contact.is_held():",
         "if was_frozen:",
         (f"{_SILENCE}test_host_without_contact_judges_nothing_nor_right_after",),
     ),
@@ -147,8 +147,8 @@
         9,
         "a host that was frozen judges no silence at first",
         "coordination/silence.py",
-        "if was_frozen or not self._is_in_contact():",
-        "if not self._is_in_contact():",
+        "if was_frozen or not self._contact.is_held():",
+        "if not self._contact.is_held():",
         (f"{_SILENCE}test_host_that_was_frozen_judges_nothing_right_after",),
     ),
     Mechanism(
@@ -157,7 +157,7 @@
         "coordination/silence.py",
         "set(first).intersection(*others)",
         "set(first).union(*others)",
-        (f"{_SILENT}test_upstreams_stay_in_use_while_a_control_host_is_cut_off",),
+        (f"{_SILENT}test_upstream_that_goes_over_to_the_host_cut_off_stays_in_use",),
     ),
     Mechanism(
         9,
@@ -178,6 +178,14 @@
         "        await propose_table",
         (f"{_LOST}test_host_that_is_cut_off_refuses_at_once",),
     ),
+    Mechanism(
+        9,
+        "what a control host out of reach heard last isn't called silent soon",
+        "coordination/silence.py",
+        "is_known = heard_by in answering",
+        "is_known = True",
+        (f"{_SILENT}test_hosts_that_are_not_asked_by_an_entry_host_are_not_forgotten",),
+    ),
     Mechanism(
         9,
         "an announcement ends an upstream's silence",
--- a/src/pepperstep/coordination/contact.py
+++ b/src/pepperstep/coordination/contact.py
@@ -33,8 +33,11 @@
     def is_held(self) -> bool:
         """Whether most voters have answered lately, this host counted if it's one."""
         voters = set(self._voters())
-        answering = {self._name, *self._reached()} & voters
-        return 2 * len(answering) > len(voters)
+        return 2 * len(self.answering() & voters) > len(voters)
+
+    def answering(self) -> set[str]:
+        """Return the control hosts that have answered lately, this one included."""
+        return {self._name, *self._reached()}
 
     def check(self) -> None:
         """Raise `Failure` with `NO_QUORUM` where most voters are out of reach.
--- a/src/pepperstep/coordination/control_desk.py
+++ b/src/pepperstep/coordination/control_desk.py
@@ -150,7 +150,7 @@
         self, message: pb.UpstreamNotice, sender: str
     ) -> pb.UpstreamNoticeReply:
         announcement = Announcement.from_message(message.upstream)
-        self._book.note(announcement, told_by=sender)
+        self._book.note(announcement, told_by=sender, heard_by=sender)
         return pb.UpstreamNoticeReply()
 
     async def _on_sync(self, request: pb.SyncRequest, sender: str) -> pb.SyncReply:
@@ -203,6 +203,8 @@
         for announcement, age in self._book.changed_since(since):
             message = announcement.to_message(age)
             message.is_silent = announcement.key in self._book.silent
+            if request.is_control:
+                message.heard_by = self._book.heard_by(announcement.id)
             reply.upstreams.append(message)
         if request.is_control and not reply.is_whole:
             self._add_renewals(reply)
@@ -227,5 +229,6 @@
             if announcement.key in self._book.silent or announcement.id in told:
                 continue
             if announcement.takes_work:
-                age = self._book.age(announcement.id)
-                reply.upstreams.append(announcement.to_message(age))
+                message = announcement.to_message(self._book.age(announcement.id))
+                message.heard_by = self._book.heard_by(announcement.id)
+                reply.upstreams.append(message)
--- a/src/pepperstep/coordination/silence.py
+++ b/src/pepperstep/coordination/silence.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from pepperstep.coordination.contact import Contact
 from pepperstep.coordination.records import UpstreamKey
 from pepperstep.coordination.upstream_book import UpstreamBook
 from pepperstep.proto import coordination_pb2 as pb
@@ -18,6 +19,9 @@
 # ended, or is cut off from all control hosts; requests that reach it still are
 # answered, so this is long. In seconds.
 _SILENCE_SECONDS = 20.0
+# The same for an upstream whose latest announcement came to a control host that's out
+# of reach, and may hear of it still, in seconds: regions lose each other for minutes.
+_MISSED_SECONDS = 300.0
 # Time between two looks after which a host takes itself for frozen meanwhile, in
 # seconds: it looks once a second, and a busy one is late by less than one.
 _FROZEN_SECONDS = 3.0
@@ -33,18 +37,18 @@
     hear. It judges nothing until it has been in contact for the whole time: without
     that, one host that was cut off for 20 s took all upstreams out of use that
     announced themselves at the others, and two in three requests of the next minute
-    failed.
+    failed. What a control host heard last that's out of reach it judges much later.
     """
 
     def __init__(
         self,
         book: UpstreamBook,
         now: Callable[[], float],
-        is_in_contact: Callable[[], bool],
+        contact: Contact,
     ):
         self._book = book
         self._now = now
-        self._is_in_contact = is_in_contact
+        self._contact = contact
         # Monotonic time since which this host hears most others.
         self._in_contact_since = now()
         self._looked_at = now()
@@ -54,12 +58,18 @@
         now = self._now()
         was_frozen = now - self._looked_at > _FROZEN_SECONDS
         self._looked_at = now
-        if was_frozen or not self._is_in_contact():
+        if was_frozen or not self._contact.is_held():
             self._in_contact_since = now
             return
-        limit = now - _SILENCE_SECONDS
-        if self._in_contact_since <= limit:
-            self._book.set_silent(self._book.unheard_since(limit), _JUDGE)
+        if now - self._in_contact_since < _SILENCE_SECONDS:
+            return
+        answering = self._contact.answering()
+
+        def limit(heard_by: str) -> float:
+            is_known = heard_by in answering
+            return now - (_SILENCE_SECONDS if is_known else _MISSED_SECONDS)
+
+        self._book.set_silent(self._book.unheard_since(limit), _JUDGE)
 
 
 @dataclass(slots=True)
--- a/src/pepperstep/coordination/sync.py
+++ b/src/pepperstep/coordination/sync.py
@@ -271,7 +271,8 @@
             self.on_restart()
         for message in reply.upstreams:
             announcement = Announcement.from_message(message)
-            self._book.note(announcement, message.age + age, name)
+            heard_by = message.heard_by or name
+            self._book.note(announcement, message.age + age, name, heard_by)
         source.version = reply.registry_version
         is_new_life = source.epoch != reply.registry_epoch
         source.epoch = reply.registry_epoch
--- a/src/pepperstep/coordination/upstream_book.py
+++ b/src/pepperstep/coordination/upstream_book.py
@@ -42,15 +42,18 @@
     announcement: Announcement
     # Version of the book at the latest change.
     version: int
-    # Monotonic time of the latest announcement.
+    # Monotonic time of the latest announcement, and the control host that it came to.
     heard_at: float
+    heard_by: str
 
 
 class UpstreamBook:
     """Upstreams by id; `version` grows with each change."""
 
-    def __init__(self, now: Callable[[], float]):
+    def __init__(self, now: Callable[[], float], name: str = ""):
+        """Make an empty book; `name` is that of a control host, where it's one's."""
         self._now = now
+        self._name = name
         self._entries: dict[str, _Entry] = {}
         self._gone: OrderedDict[str, None] = OrderedDict()
         # Monotonic time since which an upstream counts as silent.
@@ -117,12 +120,19 @@
             return heard_of
         return [entry.announcement for entry in self._taking_work(service)]
 
-    def unheard_since(self, time: float) -> set[UpstreamKey]:
-        """Return the upstreams of which nothing was heard since a monotonic time."""
+    def heard_by(self, upstream: str) -> str:
+        """Return the control host that an upstream's latest announcement came to."""
+        return self._entries[upstream].heard_by
+
+    def unheard_since(self, limit: Callable[[str], float]) -> set[UpstreamKey]:
+        """Return the upstreams of which nothing was heard since a monotonic time.
+
+        `limit` gives it by the control host that the latest announcement came to.
+        """
         return {
             entry.announcement.key
             for entry in self._entries.values()
-            if entry.heard_at < time and not entry.announcement.is_gone
+            if entry.heard_at < limit(entry.heard_by) and not entry.announcement.is_gone
         }
 
     async def wait_change(self) -> None:
@@ -146,30 +156,40 @@
         )
 
     def note(
-        self, announcement: Announcement, age: float = 0.0, told_by: str = _ITSELF
+        self,
+        announcement: Announcement,
+        age: float = 0.0,
+        told_by: str = _ITSELF,
+        heard_by: str = "",
     ) -> bool:
         """Take in an announcement and return whether it changed anything.
 
-        `told_by` names the host that passed it on, for the log.
+        `told_by` names the host that passed it on, for the log; `heard_by` the control
+        host that it came to, this one without any.
         """
         known = self._entries.get(announcement.id)
         heard_at = self._now() - age
+        heard_by = heard_by or self._name
         if known is None:
-            self._put(announcement, heard_at, told_by)
+            entry = _Entry(announcement, self.version, heard_at, heard_by)
+            self._put(entry, told_by)
             return True
         if announcement.incarnation > known.announcement.incarnation:
-            self._restart(known.announcement, announcement, heard_at, told_by)
+            entry = _Entry(announcement, self.version, heard_at, heard_by)
+            self._restart(known.announcement, entry, told_by)
             return True
         if _is_foreign(known.announcement, announcement):
             return False
-        known.heard_at = max(known.heard_at, heard_at)
+        if heard_at > known.heard_at:
+            known.heard_at, known.heard_by = heard_at, heard_by
         if heard_at > self._silent.get(announcement.key, math.inf):
             self._note_silence(known, False, told_by)
         merged = _merge(known.announcement, announcement)
         if _says_the_same(merged, known.announcement):
             known.announcement = merged
             return False
-        self._put(merged, known.heard_at, told_by)
+        entry = _Entry(merged, self.version, known.heard_at, known.heard_by)
+        self._put(entry, told_by)
         return True
 
     def note_gone(
@@ -217,14 +237,9 @@
             if since < limit:
                 self._forget(key)
 
-    def _restart(
-        self,
-        before: Announcement,
-        announcement: Announcement,
-        heard_at: float,
-        told_by: str,
-    ) -> None:
+    def _restart(self, before: Announcement, entry: _Entry, told_by: str) -> None:
         """Take in an upstream's later start, and drop what was known before."""
+        announcement = entry.announcement
         logging.info(
             "book: Upstream %s has started again, incarnation %d after %d.",
             announcement.id,
@@ -232,7 +247,7 @@
             before.incarnation,
         )
         self._gone.pop(announcement.id, None)
-        self._put(announcement, heard_at, told_by)
+        self._put(entry, told_by)
         self._silent.pop(before.key, None)
         for subscriber in self._restart_subscribers:
             subscriber(before)
@@ -245,10 +260,10 @@
         for subscriber in self._forget_subscribers:
             subscriber(entry.announcement)
 
-    def _put(self, announcement: Announcement, heard_at: float, told_by: str) -> None:
+    def _put(self, entry: _Entry, told_by: str) -> None:
+        announcement = entry.announcement
         before = self.get(announcement.id)
         state_before = "" if before is None else self._state_of(before)
-        entry = _Entry(announcement, self.version, heard_at)
         self._entries[announcement.id] = entry
         if announcement.is_gone:
             self._silent.pop(announcement.key, None)
--- a/src/pepperstep/relay_hosts.py
+++ b/src/pepperstep/relay_hosts.py
@@ -289,7 +289,7 @@
         self._usage = UsageMachine()
         self.agreement.register(TABLE_MACHINE, self.machine)
         self.agreement.register(USAGE_MACHINE, self._usage)
-        self.book = UpstreamBook(ports.timers.now)
+        self.book = UpstreamBook(ports.timers.now, self._peer_name)
         self.entries = EntryBook(ports.timers.now)
         self.sync = Sync(
             self._peer_name,
@@ -317,7 +317,7 @@
             is_in_contact=self._contact.is_held,
         )
         self.sync.on_reply = self.desk.absorb
-        self._silence = SilenceJudge(self.book, ports.timers.now, self._contact.is_held)
+        self._silence = SilenceJudge(self.book, ports.timers.now, self._contact)
         self._hints = Hints(
             ports.storage, self.tables, self.book, self.entries, ports.timers
         )
--- a/tests/relaying/test_silence.py
+++ b/tests/relaying/test_silence.py
@@ -5,6 +5,7 @@
 from hypothesis import given, strategies as st
 
 from pepperstep.coordination import Announcement, UpstreamBook
+from pepperstep.coordination.contact import Contact
 from pepperstep.coordination.silence import SilenceJudge, SilenceVotes
 from pepperstep.proto import coordination_pb2 as pb
 from tests.relaying.world import open_world
@@ -49,9 +50,14 @@
 
     def __init__(self) -> None:
         self.clock = Clock()
-        self.book = UpstreamBook(self.clock.now)
+        self.book = UpstreamBook(self.clock.now, "c0")
         self.is_in_contact = True
-        self.judge = SilenceJudge(self.book, self.clock.now, lambda: self.is_in_contact)
+        # Control hosts that answer, of three.
+        self.reached = ["c1", "c2"]
+        contact = Contact(
+            "c0", lambda: ["c0", "c1", "c2"], lambda: self.reached, self.clock.now
+        )
+        self.judge = SilenceJudge(self.book, self.clock.now, contact)
         self.book.note(announcement())
 
     def look_for(self, seconds: int) -> None:
@@ -76,15 +82,32 @@
 
 def test_host_without_contact_judges_nothing_nor_right_after():
     judged = Judged()
-    judged.is_in_contact = False
+    judged.reached = []
     judged.look_for(60)
-    judged.is_in_contact = True
+    judged.reached = ["c1"]
     judged.look_for(19)
     assert not judged.is_silent
     judged.look_for(2)
     assert judged.is_silent
 
 
+def test_upstream_of_a_control_host_out_of_reach_is_judged_late():
+    judged = Judged()
+    judged.clock.time += 0.5
+    judged.book.note(announcement(sequence=2), told_by="c1", heard_by="c2")
+    judged.reached = ["c1"]
+    judged.look_for(300)
+    assert not judged.is_silent
+    judged.look_for(1)
+    assert judged.is_silent
+    judged.book.note(announcement(sequence=3), told_by="c1", heard_by="c2")
+    judged.look_for(60)
+    assert not judged.is_silent
+    judged.reached = ["c1", "c2"]
+    judged.look_for(1)
+    assert judged.is_silent
+
+
 def test_host_that_was_frozen_judges_nothing_right_after():
     judged = Judged()
     judged.clock.time += 30.0
--- a/tests/relaying/test_silent_upstreams.py
+++ b/tests/relaying/test_silent_upstreams.py
@@ -106,3 +106,47 @@
                 assert working(entry) == ["u0"]
         assert working(world.controls[frozen]) == ["u0"]
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("cut_off", ["c0:1", "c3:1", "c5:1"])
+async def test_hosts_that_are_not_asked_by_an_entry_host_are_not_forgotten(
+    autojump_clock, cut_off
+):
+    """Entry hosts ask three of six control hosts, perhaps none that hears an upstream.
+
+    Those that don't reach the host which heard it last can't call it silent, neither
+    to entry hosts nor where upstreams are ordered.
+    """
+    async with open_world(controls=6, entries=3) as world:
+        async with trio.open_nursery() as nursery:
+            for number in range(6):
+                nursery.start_soon(keep_announcing, world, f"c{number}:1", f"u{number}")
+            await trio.sleep(5.0)
+            cut_from_control_hosts(world, cut_off)
+            everything = [f"u{number}" for number in range(6)]
+            hosts = [*world.controls.values(), *world.entries.values()]
+            for _ in range(int(LONG_SECONDS)):
+                await trio.sleep(1.0)
+                for host in hosts:
+                    assert working(host) == everything
+            nursery.cancel_scope.cancel()
+
+
+async def test_upstream_that_goes_over_to_the_host_cut_off_stays_in_use(autojump_clock):
+    """The others heard of it last themselves, so all but one call it silent."""
+    async with open_world() as world, trio.open_nursery() as nursery:
+        with trio.move_on_after(5.0):
+            await keep_announcing(world, "c0:1", "u0")
+        cut_from_control_hosts(world, "c1:1")
+        announcement = partial(world.announce, "c1:1", "u0", "plain")
+        for sequence in range(10, 10 + int(LONG_SECONDS)):
+            await announcement(sequence=sequence)
+            await trio.sleep(1.0)
+            for entry in world.entries.values():
+                assert working(entry) == ["u0"]
+        assert working(world.controls["c0:1"]) == []
+        world.network.heal()
+        await announcement(sequence=99)
+        await trio.sleep(3.0)
+        assert working(world.controls["c0:1"]) == ["u0"]
+        nursery.cancel_scope.cancel()
