--- a/tests/relaying/test_lost_contact.py
+++ b/tests/relaying/test_lost_contact.py
@@ -13,14 +13,6 @@
 NOTICE_SECONDS = 3.0
 
 
-def cut_off(world, name: str) -> None:
-    """Cut a control host off from the other ones."""
-    for other in world.controls:
-        if other != name:
-            world.network.cut(name, other)
-            world.network.cut(other, name)
-
-
 def put(host):
     """Send a change."""
     return host.put_table(9, document(9))
@@ -38,7 +30,7 @@
     async with open_world() as world:
         # Hosts that have just started find each other yet, and wait.
         await trio.sleep(5.0)
-        cut_off(world, name)
+        world.cut_off(name)
         await trio.sleep(NOTICE_SECONDS)
         begun = trio.current_time()
         with pytest.raises(Failure) as raised:
--- a/tests/relaying/test_partial_views.py
+++ b/tests/relaying/test_partial_views.py
@@ -13,20 +13,12 @@
 LONG_SECONDS = 17.0
 
 
-def cut(world, name: str, others) -> None:
-    """Cut a host off from others, both ways."""
-    for other in others:
-        if other != name:
-            world.network.cut(name, other)
-            world.network.cut(other, name)
-
-
 @pytest.mark.parametrize("partial", ["c0:1", "c1:1", "c2:1"])
 async def test_entry_hosts_share_quotas_by_all_that_any_control_host_hears(
     autojump_clock, partial
 ):
     async with open_world(entries=4) as world:
-        cut(world, partial, [*world.controls, "e1:1", "e2:1", "e3:1"])
+        world.cut_off(partial, [*world.controls, "e1:1", "e2:1", "e3:1"])
         await trio.sleep(LONG_SECONDS)
         for _ in range(40):
             await trio.sleep(0.1)
@@ -40,7 +32,7 @@
 @pytest.mark.parametrize("partial", ["c0:1", "c1:1", "c2:1"])
 async def test_callers_are_told_of_all_entry_hosts(autojump_clock, partial):
     async with open_world(entries=4) as world:
-        cut(world, partial, [*world.controls, "e1:1", "e2:1", "e3:1"])
+        world.cut_off(partial, [*world.controls, "e1:1", "e2:1", "e3:1"])
         await trio.sleep(3.0)
         for _ in range(40):
             await trio.sleep(0.1)
--- a/tests/relaying/test_silent_upstreams.py
+++ b/tests/relaying/test_silent_upstreams.py
@@ -41,14 +41,6 @@
         await trio.sleep(HEARTBEAT_SECONDS)
 
 
-def cut_from_control_hosts(world, name: str) -> None:
-    """Cut a control host off from the others; entry hosts still reach it."""
-    for other in world.controls:
-        if other != name:
-            world.network.cut(name, other)
-            world.network.cut(other, name)
-
-
 def working(host) -> list[str]:
     """Return the upstreams of the plain service that a host counts on."""
     return [each.id for each in host.book.working("plain")]
@@ -63,7 +55,7 @@
         nursery.start_soon(keep_announcing, world, "c0:1", "u0")
         nursery.start_soon(keep_announcing, world, "c1:1", "u1")
         await trio.sleep(5.0)
-        cut_from_control_hosts(world, cut_off)
+        world.cut_off(cut_off)
         for _ in range(int(LONG_SECONDS)):
             await trio.sleep(1.0)
             for entry in world.entries.values():
@@ -122,7 +114,7 @@
             for number in range(6):
                 nursery.start_soon(keep_announcing, world, f"c{number}:1", f"u{number}")
             await trio.sleep(5.0)
-            cut_from_control_hosts(world, cut_off)
+            world.cut_off(cut_off)
             everything = [f"u{number}" for number in range(6)]
             hosts = [*world.controls.values(), *world.entries.values()]
             for _ in range(int(LONG_SECONDS)):
@@ -137,7 +129,7 @@
     async with open_world() as world, trio.open_nursery() as nursery:
         with trio.move_on_after(5.0):
             await keep_announcing(world, "c0:1", "u0")
-        cut_from_control_hosts(world, "c1:1")
+        world.cut_off("c1:1")
         announcement = partial(world.announce, "c1:1", "u0", "plain")
         for sequence in range(10, 10 + int(LONG_SECONDS)):
             await announcement(sequence=sequence)
--- a/tests/relaying/test_upstream_views.py
+++ b/tests/relaying/test_upstream_views.py
@@ -76,10 +76,7 @@
             await act(self._rng.choice(SEEDS), self._rng.choice([1.0, 5.0, 25.0, 40.0]))
 
     async def _cut(self, host: str, seconds: float) -> None:
-        for other in SEEDS:
-            if other != host:
-                self._world.network.cut(host, other)
-                self._world.network.cut(other, host)
+        self._world.cut_off(host, SEEDS)
         await trio.sleep(seconds)
         self._world.network.heal()
 
--- a/tests/relaying/world.py
+++ b/tests/relaying/world.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from collections.abc import Collection
 from contextlib import asynccontextmanager
 
 import trio
@@ -108,6 +109,13 @@
         elif name in self.disks:
             self.disks[name].crash()
 
+    def cut_off(self, name: str, others: Collection[str] = ()) -> None:
+        """Cut a host off from others, both ways; from the control hosts without any."""
+        for other in others or self.controls:
+            if other != name:
+                self.network.cut(name, other)
+                self.network.cut(other, name)
+
     async def put(self, version: int, data: bytes | None = None) -> None:
         """Send an operator's document to any control host until it's taken."""
         data = data or document(version)
