A failure doesn't go on with a broken answer

The same elsewhere: a large answer that broke off was sent for again, and the second one was appended to the first part. Change: once an answer has begun, only a success goes on with it, and only a stream is sent for again. The caller's connection is reset else, as for any answer that breaks off. Tests: test_failure_does_not_go_on_with_a_broken_stream, test_large_answer_that_breaks_off_is_not_begun_again.

--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -32,6 +32,7 @@
 _MAX_STRAYS = 2
 # Time to send a whole answer to its caller, in seconds, behind the deadline too.
 _SEND_SECONDS = 1.0
+_SUCCESSES = range(200, 300)
 _FIRST_SERVER_ERROR = 500
 _MISDIRECTED = 421
 # What an upstream's end was concluded from: another one answers at its address.
@@ -214,7 +215,9 @@
         if facts.was_refused or head.status == _MISDIRECTED:
             return await self._take_refusal(attempt, upstream, connection, head, facts)
         attempt.has_run = True
-        if head.status >= _FIRST_SERVER_ERROR and not attempt.exchange.has_begun:
+        if attempt.exchange.has_begun and head.status not in _SUCCESSES:
+            return await self._drop_failure(attempt, upstream, connection, head)
+        if head.status >= _FIRST_SERVER_ERROR:
             return await self._keep_failure(attempt, connection, head)
         if attempt.route.is_stream:
             await self._pass_events(attempt, connection, head)
@@ -250,6 +253,22 @@
         attempt.kept = Answer(head.status, body, headers)
         return Outcome.FAILED
 
+    async def _drop_failure(
+        self,
+        attempt: Attempt,
+        upstream: Announcement,
+        connection: UpstreamConnection,
+        head: AnswerHead,
+    ) -> Outcome:
+        """Read a failure that came where a stream was to go on.
+
+        Passed on, its body would stand in the stream, which would end as complete.
+        """
+        async for _ in connection.pieces():
+            pass
+        attempt.note_failed(upstream.id, f"it doesn't go on, but answers {head.status}")
+        return Outcome.FAILED
+
     async def _pass_whole(
         self, attempt: Attempt, connection: UpstreamConnection, head: AnswerHead
     ) -> None:
--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -228,6 +228,9 @@
             return False
         if outcome is Outcome.NOT_RUN:
             return True
+        if attempt.exchange.has_begun and not attempt.route.is_stream:
+            # A second answer would follow the first part of this one.
+            return False
         return attempt.route.is_repeatable
 
     async def _end(self, attempt: Attempt) -> None:
--- a/tests/relaying/test_relay.py
+++ b/tests/relaying/test_relay.py
@@ -369,3 +369,37 @@
         await world.entries["e0:1"].relay.handle(exchange)
         assert (exchange.status, exchange.is_aborted) == (status, False)
         assert exchange.is_complete
+
+
+@pytest.mark.parametrize("status", [500, 504, 400, 302])
+async def test_failure_does_not_go_on_with_a_broken_stream(autojump_clock, status):
+    """The caller got a stream's first events and its end, with the rest missing.
+
+    One upstream crashed in the middle of the stream, and the next one, which was to
+    go on behind the last event, answered 500 within a millisecond. Its answer was
+    passed on as the rest of the stream, and the stream was ended as complete.
+    """
+
+    def broken_then_failing(sent) -> Reply:
+        if b"last-event-id" not in dict(sent.head.headers):
+            return Reply(head(200), (EVENTS[0], EVENTS[1][:6]), True)
+        return Reply(head(status), (b"failed\n\n",))
+
+    async with open_world() as world:
+        await serve(world, "model", broken_then_failing, broken_then_failing)
+        exchange = await world.ask("e0:1", request("/resumable/1"))
+        assert exchange.received == EVENTS[0]
+        assert exchange.is_aborted and not exchange.is_complete
+
+
+async def test_large_answer_that_breaks_off_is_not_begun_again(autojump_clock):
+    piece = 64 * 1024 * b"x"
+
+    def breaks_off(sent) -> Reply:
+        return Reply(head(200), (piece,) * 8, True)
+
+    async with open_world() as world:
+        await serve(world, "plain", breaks_off, breaks_off)
+        exchange = await world.ask("e0:1", request("/safe/1"))
+        assert len(world.connector.sent) == 1
+        assert exchange.is_aborted and not exchange.is_complete
