Each upstream's work is kept by one entry host for all, and a few are weighed

Each change of the unread tokens went to 16 other hosts and back, some 200 calls a second and host. And it told little: a host heard 16 of 69, or of 190.

Change: each upstream has a keeper among the entry hosts, the same for all by hashes; a host tells it its work there and gets the others' with the answer. A prompt's upstream is chosen of three that are asked about: the first two by rank and any other, and three more where all are busy. A control host names the keepers (an eighth of the entry hosts, 16 at least). A keeper that doesn't answer in 30 ms is left alone for 2 s. Requests under way count for all hosts, too, and a rank costs the whole shared part.

--- a/measure/ablation.py
+++ b/measure/ablation.py
@@ -33,20 +33,20 @@
     Ablation(
         "ranks by the shared part",
         "src/pepperstep/relay/choice.py",
-        "                + share * shared * rank\n",
-        "",
+        "cost = _tokens_of(work) + share * shared * rank\n",
+        "cost = _tokens_of(work)\n",
     ),
     Ablation(
-        "own requests under way",
+        "requests under way",
         "src/pepperstep/relay/choice.py",
-        "                + _REQUEST_TOKENS * self._standing(upstream.key).in_flight\n",
-        "",
+        "    return work.unread + _REQUEST_TOKENS * work.requests\n",
+        "    return work.unread\n",
     ),
     Ablation(
         "shared load",
         "src/pepperstep/relay/shared_load.py",
-        "            self._changed.set()\n",
-        "            pass\n",
+        "        if keeper is None or self._resting",
+        "        if True or self._resting",
     ),
     Ablation(
         "directory at entry hosts",
--- a/measure/placement.py
+++ b/measure/placement.py
@@ -6,7 +6,7 @@
 
 import random
 import statistics
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -14,9 +14,8 @@
 from pepperstep.coordination import Announcement, UpstreamBook, UpstreamKey
 from pepperstep.entities.routes import Service
 from pepperstep.ports.relaying import PromptPart, RequestFacts
-from pepperstep.relay.choice import Chooser
-from pepperstep.relay.prompts import PromptMemory
-from pepperstep.relay.shared_load import TOLD_TOKENS
+from pepperstep.relay.choice import Choice, Chooser
+from pepperstep.relay.shared_load import UpstreamWork
 
 __all__ = ["PlacementResult", "PlacementSettings", "main", "play_placement"]
 
@@ -25,9 +24,9 @@
 # don't end.
 _WARM_SECONDS = 5.0
 _TAIL_SECONDS = 5.0
-# Time until a host's notice has arrived at the others, in seconds: the pause between
-# two notices and the way.
-_TELLING_SECONDS = 0.025
+# Time until a host's notice has arrived at its keeper, in seconds: the pause before it
+# and the way.
+_TELLING_SECONDS = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,36 +95,46 @@
         return True
 
 
-class _ToldWork:
-    """Other hosts' unread prompts, as they told them."""
+class _KeptWork:
+    """Other hosts' work, as a keeper knows it from notices."""
 
     def __init__(
-        self, clock: Scheduler, prompts: PromptMemory, hosts: list["_ToldWork"]
+        self, clock: Scheduler, kept: dict[UpstreamKey, dict[int, UpstreamWork]]
     ):
         self._clock = clock
-        self._prompts = prompts
-        self._hosts = hosts
-        self._last: dict[UpstreamKey, int] = {}
-        self._heard: dict[int, dict[UpstreamKey, int]] = {}
-
-    @property
-    def heard_count(self) -> int:
-        return len(self._heard)
+        # By upstream and host.
+        self._kept = kept
+        # This host's own work, set once its chooser is there.
+        self.own: Callable[[UpstreamKey], UpstreamWork] = lambda upstream: (
+            UpstreamWork()
+        )
 
-    def unread_of(self, upstream: UpstreamKey) -> int:
-        return sum(unread.get(upstream, 0) for unread in self._heard.values())
+    async def ask(
+        self, upstreams: Iterable[UpstreamKey]
+    ) -> dict[UpstreamKey, UpstreamWork]:
+        found = {}
+        for upstream in upstreams:
+            kept = self._kept.setdefault(upstream, {})
+            kept[id(self)] = self.own(upstream)
+            others = (work for host, work in kept.items() if host != id(self))
+            found[upstream] = sum(others, UpstreamWork())
+        return found
 
     def note_change(self, upstream: UpstreamKey, unread: int) -> None:
-        if abs(unread - self._last.get(upstream, 0)) < TOLD_TOKENS:
-            return
-        self._last = self._prompts.all_unread()
-        told = partial(self._hear, self._last)
+        told = partial(self._tell, upstream, self.own(upstream))
         self._clock.at(self._clock.now + _TELLING_SECONDS, told)
 
-    def _hear(self, unread: dict[UpstreamKey, int]) -> None:
-        for host in self._hosts:
-            if host is not self:
-                host._heard[id(self)] = unread
+    def _tell(self, upstream: UpstreamKey, work: UpstreamWork) -> None:
+        self._kept.setdefault(upstream, {})[id(self)] = work
+
+
+def _run_now(coroutine: Coroutine[None, None, Choice]) -> Choice:
+    """Return the result of a coroutine that waits for nothing."""
+    try:
+        coroutine.send(None)
+    except StopIteration as result:
+        return result.value
+    raise RuntimeError("The coroutine waits.")
 
 
 class _Play:
@@ -135,7 +144,7 @@
         self._clock = Scheduler()
         self.result = PlacementResult()
         self._engines = {f"u{n:02}": self._engine(n) for n in range(settings.engines)}
-        self._told: list[_ToldWork] = []
+        self._kept: dict[UpstreamKey, dict[int, UpstreamWork]] = {}
         self._choosers = [self._chooser(seed + n) for n in range(settings.hosts)]
 
     def run(self) -> PlacementResult:
@@ -160,10 +169,10 @@
         rng = random.Random(seed)
         if not self._settings.tells:
             return Chooser(book, _OpenPools(), "z", lambda: count, now, rng)
-        prompts = PromptMemory(now)
-        told = _ToldWork(self._clock, prompts, self._told)
-        self._told.append(told)
-        return Chooser(book, _OpenPools(), "z", lambda: count, now, rng, prompts, told)
+        kept = _KeptWork(self._clock, self._kept)
+        chooser = Chooser(book, _OpenPools(), "z", lambda: count, now, rng, others=kept)
+        kept.own = chooser.work_at
+        return chooser
 
     def _arrive(self) -> None:
         settings = self._settings
@@ -191,7 +200,7 @@
         self._send(kind, facts, rng.choice(self._choosers))
 
     def _send(self, kind: PromptKind, facts: RequestFacts, chooser: Chooser) -> None:
-        choice = chooser.choose(_SERVICE, facts, ())
+        choice = _run_now(chooser.choose(_SERVICE, facts, ()))
         chooser.begin(choice, facts)
         begun = self._clock.now
         end_of_count = self._settings.seconds - _TAIL_SECONDS
@@ -251,6 +260,12 @@
     "2.5, 30, 64 hosts": PlacementSettings(
         engines=30, hosts=64, load=2.5, seconds=20.0
     ),
+    "6.0, 39, 191 hosts": PlacementSettings(
+        engines=39, hosts=191, load=6.0, seconds=20.0
+    ),
+    "6.0, 39, 191, told": PlacementSettings(
+        engines=39, hosts=191, load=6.0, seconds=20.0, tells=True
+    ),
 }
 
 
--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -249,8 +249,8 @@
         9,
         "prompts go where the host has few requests under way",
         "relay/choice.py",
-        "+ _REQUEST_TOKENS * self._standing(upstream.key).in_flight",
-        "",
+        "    return work.unread + _REQUEST_TOKENS * work.requests",
+        "    return work.unread",
         (f"{_PLACEMENT}test_prompts_come_in_time",),
     ),
     Mechanism(
@@ -346,7 +346,7 @@
         9,
         "hosts place prompts by what others have sent, too",
         "relay/choice.py",
-        "return own + self._others.unread_of(upstream)",
+        "return own + others[upstream]",
         "return own",
         (
             "tests/relaying/test_shared_load.py::"
--- a/src/pepperstep/coordination/directory.py
+++ b/src/pepperstep/coordination/directory.py
@@ -6,7 +6,7 @@
 in three requests of the next 4 s came late or not at all.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection
 from dataclasses import dataclass
 from functools import cached_property
 
@@ -19,6 +19,10 @@
 
 # Addresses that a caller is told, and that a host keeps: the most that callers take.
 MAX_ADDRESSES = 64
+# Entry hosts for each keeper, and keepers at least. All connect to each keeper, and a
+# keeper serves the others' requests, so both are bounded.
+_HOSTS_PER_KEEPER = 8
+_LEAST_KEEPERS = 16
 
 
 @dataclass(frozen=True, order=True, slots=True)
@@ -36,9 +40,12 @@
     """Entry hosts in a fixed order."""
 
     entries: tuple[DirectoryEntry, ...] = ()
+    # Entry hosts that keep the upstreams' work for all: the same for each zone, and
+    # but for one those as before when a host comes or goes.
+    keepers: tuple[str, ...] = ()
 
     @classmethod
-    def from_reports(cls, reports: Iterable[EntryReport], zone: str) -> "Directory":
+    def from_reports(cls, reports: Collection[EntryReport], zone: str) -> "Directory":
         """Return the entry hosts of `reports`, those of `zone` first."""
         entries = sorted(
             (
@@ -47,7 +54,7 @@
             ),
             key=lambda entry: (entry.zone != zone, entry),
         )
-        return cls(tuple(entries[:MAX_ADDRESSES]))
+        return cls(tuple(entries[:MAX_ADDRESSES]), _choose_keepers(reports))
 
     @classmethod
     def from_message(cls, message: pb.Directory) -> "Directory":
@@ -56,14 +63,15 @@
             DirectoryEntry(each.address, each.zone, each.peer)
             for each in message.entries
         )
-        return cls(tuple(entries))
+        return cls(tuple(entries), tuple(message.keepers))
 
     @cached_property
     def digest(self) -> int:
         """A number that tells this content from others, 0 for no entry hosts."""
         if not self.entries:
             return 0
-        return xxhash.xxh64_intdigest(repr(self.entries).encode())
+        content = repr((self.entries, self.keepers))
+        return xxhash.xxh64_intdigest(content.encode())
 
     def addresses(self, zone: str, without: str = "") -> list[str]:
         """Return addresses for callers in `zone`, theirs first."""
@@ -77,4 +85,12 @@
             pb.DirectoryEntry(address=each.address, zone=each.zone, peer=each.peer)
             for each in self.entries
         ]
-        return pb.Directory(entries=entries)
+        return pb.Directory(entries=entries, keepers=self.keepers)
+
+
+def _choose_keepers(reports: Collection[EntryReport]) -> tuple[str, ...]:
+    """Return the hosts with the lowest hashes of their names."""
+    count = max(_LEAST_KEEPERS, len(reports) // _HOSTS_PER_KEEPER)
+    names = (report.host for report in reports)
+    ranked = sorted(names, key=lambda name: xxhash.xxh64_intdigest(name.encode()))
+    return tuple(ranked[:count])
--- a/src/pepperstep/relay/choice.py
+++ b/src/pepperstep/relay/choice.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -19,6 +19,7 @@
 from pepperstep.relay.load import LoadMeter
 from pepperstep.relay.pools import Pools
 from pepperstep.relay.prompts import PromptMemory, ReadingSpeed
+from pepperstep.relay.shared_load import UpstreamWork
 
 __all__ = ["Choice", "Chooser", "OthersWork"]
 
@@ -29,22 +30,20 @@
 # Part of a prompt's shared tokens that the upstream which all hosts prefer for
 # them is believed to keep, though this host hasn't sent them there lately.
 _PREFERRED_SHARE = 0.6
-# What a request under way counts for, in unread tokens; what each rank below the
-# first costs, as a share of the shared tokens; and the rank from which it costs no
-# more. In the model of `pepperstep-measure placement`, 7 hosts with the sheet's load
-# on 9 engines, where hosts tell each other nothing: 97% of the prompts came in time
-# and 1 in 100 first tokens took 1.08 s; where unread tokens and kept parts decided,
-# 83% and 4.3 s; at random 88% and 1.6 s. With half and twice of each, the share in
-# time differs by 0.5 points at most.
+# What a request under way counts for, in unread tokens.
 _REQUEST_TOKENS = 1_500
+# What each rank below the first costs, as a share of the shared tokens, and the rank
+# from which it costs no more.
 _RANK_SHARE = 0.15
 _RANKS = 2
-# The same share where most hosts tell their work. What is known is worth more then, and
-# so is a kept part: on three days of a deployment 0.4 brought a worth of 0.655, and
-# 0.15 one of 0.627 (one run each); parts read again cost 0.025 and 0.030.
-_RANK_SHARE_HEARD = 0.4
-# Ratio of all hosts to those that are heard up to which most are.
-_MOSTLY_HEARD = 2.0
+# The same share where others' work is known: a kept part is worth more then.
+_RANK_SHARE_KNOWN = 1.0
+# Upstreams that are weighed by others' work, and as many besides where these are busy.
+# A few of many are nearly as good as all, and hosts that ask at the same moment don't
+# all send to the one with the least work.
+_WEIGHED = 3
+# Time that an upstream needs for its unread tokens from which it's busy, in seconds.
+_BUSY_SECONDS = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,12 +62,10 @@
 class OthersWork(Protocol):
     """What is known of other hosts' work at upstreams."""
 
-    @property
-    def heard_count(self) -> int:
-        """Hosts whose work is known, this one excluded."""
-
-    def unread_of(self, upstream: UpstreamKey) -> int:
-        """Return the tokens that others have sent there and that aren't read."""
+    async def ask(
+        self, upstreams: Iterable[UpstreamKey]
+    ) -> dict[UpstreamKey, UpstreamWork]:
+        """Return others' work, without upstreams of which nothing is known."""
 
     def note_change(self, upstream: UpstreamKey, unread: int) -> None:
         """Take in this host's own unread tokens there."""
@@ -77,11 +74,11 @@
 class _Unheard:
     """Other hosts that tell nothing."""
 
-    heard_count = 0
-
-    def unread_of(self, upstream: UpstreamKey) -> int:
-        """Return 0."""
-        return 0
+    async def ask(
+        self, upstreams: Iterable[UpstreamKey]
+    ) -> dict[UpstreamKey, UpstreamWork]:
+        """Return nothing."""
+        return {}
 
     def note_change(self, upstream: UpstreamKey, unread: int) -> None:
         """Tell nobody."""
@@ -127,24 +124,29 @@
         now = self._now()
         return {service: meter.work(now) for service, meter in self._meters.items()}
 
-    def choose(
+    async def choose(
         self, service: Service, facts: RequestFacts, tried: Collection[UpstreamKey]
     ) -> Choice | None:
         """Return an upstream for a request, None if there is none."""
-        candidates = [
-            each
-            for each in self._book.usable(service.name)
-            if each.key not in tried
-            and self._pools.has_room(each.key, service.max_connections)
-        ]
+        candidates = self._candidates(service, tried)
         if not candidates:
             return None
-        healthy = [each for each in candidates if not self._is_paused(each.key)]
-        candidates = healthy or candidates
-        if facts.prompt_parts:
-            return self._choose_by_prompt(service, candidates, facts)
-        chosen = min(candidates, key=self._load)
-        return Choice(chosen, candidates=len(candidates))
+        if not facts.prompt_parts:
+            chosen = min(candidates, key=self._load)
+            return Choice(chosen, candidates=len(candidates))
+        ranks = self._rank(candidates, facts)
+        others = await self._ask_others(candidates, ranks)
+        # Some may be gone or full by now.
+        candidates = self._candidates(service, tried)
+        if not candidates:
+            return None
+        return self._choose_by_prompt(service, candidates, facts, ranks, others)
+
+    def work_at(self, upstream: UpstreamKey) -> UpstreamWork:
+        """Return this host's own work at an upstream."""
+        standing = self._standings.get(upstream)
+        requests = 0 if standing is None else standing.in_flight
+        return UpstreamWork(self._prompts.unread_of(upstream), requests)
 
     def note_demand(self, choice: Choice) -> None:
         """Count the reading that a request asks for, whether or not it's let in."""
@@ -190,35 +192,72 @@
         if standing is not None and not standing.in_flight:
             del self._standings[upstream]
 
+    def _candidates(
+        self, service: Service, tried: Collection[UpstreamKey]
+    ) -> list[Announcement]:
+        """Return the upstreams that may get a request, without those that failed."""
+        candidates = [
+            each
+            for each in self._book.usable(service.name)
+            if each.key not in tried
+            and self._pools.has_room(each.key, service.max_connections)
+        ]
+        healthy = [each for each in candidates if not self._is_paused(each.key)]
+        return healthy or candidates
+
+    async def _ask_others(
+        self, candidates: list[Announcement], ranks: dict[str, int]
+    ) -> dict[UpstreamKey, UpstreamWork]:
+        """Return other hosts' work at the few upstreams that are weighed.
+
+        These are the first by rank; any others are weighed besides where all of
+        those are busy, as when many ask for one part.
+        """
+        shuffled = self._rng.sample(candidates, len(candidates))
+        shuffled.sort(key=lambda each: min(ranks.get(each.id, _RANKS), _RANKS))
+        first, rest = shuffled[:_WEIGHED], shuffled[_WEIGHED:]
+        others = await self._others.ask([each.key for each in first])
+        if rest and others and all(self._is_busy(each, others) for each in first):
+            others |= await self._others.ask([each.key for each in rest[:_WEIGHED]])
+        return others
+
+    def _is_busy(
+        self, upstream: Announcement, others: Mapping[UpstreamKey, UpstreamWork]
+    ) -> bool:
+        tokens = _tokens_of(self._work_at(upstream.key, others))
+        speed = self._speed_of(upstream.service).tokens_per_second
+        return tokens > _BUSY_SECONDS * speed
+
     def _choose_by_prompt(
-        self, service: Service, candidates: list[Announcement], facts: RequestFacts
+        self,
+        service: Service,
+        candidates: list[Announcement],
+        facts: RequestFacts,
+        ranks: dict[str, int],
+        others: Mapping[UpstreamKey, UpstreamWork],
     ) -> Choice:
         """Return the upstream with the least work, and with it the first token's time.
 
         All hosts rank the upstreams alike by the prompt's shared part, so that its
         prompts meet at few of them. That counts for less than the work there: each host
         that follows what an upstream keeps sends more there, until prompts wait for
-        seconds beside idle upstreams. Others' work counts as they tell it: on four days
-        of a deployment, 93.9% in place of 90.1% of the requests came in time, and worth
-        rose by 0.03 (means, one run each).
+        seconds beside idle upstreams. Where others' work is known of some, it's chosen
+        from these.
         """
-        scale = self._unheard_scale()
-        share = _RANK_SHARE_HEARD if scale < _MOSTLY_HEARD else _RANK_SHARE
+        known = [each for each in candidates if each.key in others]
+        share = _RANK_SHARE_KNOWN if known else _RANK_SHARE
         shared = sum(part.tokens for part in facts.prompt_parts[:-1])
-        ranks = self._rank(candidates, facts)
-        best = candidates[0]
+        weighed = known or candidates
+        best = weighed[0]
         least = math.inf
         # In any order, so that equal ones don't all go to the first.
-        for upstream in self._rng.sample(candidates, len(candidates)):
+        for upstream in self._rng.sample(weighed, len(weighed)):
             rank = min(ranks.get(upstream.id, 0), _RANKS)
-            cost = (
-                scale * self._known_unread(upstream.key)
-                + _REQUEST_TOKENS * self._standing(upstream.key).in_flight
-                + share * shared * rank
-            )
+            work = self._work_at(upstream.key, others)
+            cost = _tokens_of(work) + share * shared * rank
             if cost < least:
                 best, least = upstream, cost
-        return self._predict(service, best, facts, ranks, len(candidates))
+        return self._predict(service, best, facts, ranks, others, len(candidates))
 
     def _predict(
         self,
@@ -226,32 +265,37 @@
         upstream: Announcement,
         facts: RequestFacts,
         ranks: dict[str, int],
+        others: Mapping[UpstreamKey, UpstreamWork],
         count: int,
     ) -> Choice:
         """Return the choice with when its first token is expected.
 
-        What hosts that tell nothing have sent is taken as equal to the others',
-        spread evenly.
+        What hosts have sent that tell nothing is taken as equal to this one's, spread
+        evenly.
         """
         missing = self._prompts.missing_tokens(upstream.key, facts.prompt_parts)
         if ranks.get(upstream.id) == 0:
             missing = min(missing, _missing_at_preferred(facts))
-        unheard = (self._unheard_scale() - 1) * self._prompts.unread / count
-        unread = self._known_unread(upstream.key) + unheard
+        if upstream.key in others:
+            unread = self._work_at(upstream.key, others).unread
+        else:
+            unheard = (self._host_count() - 1) * self._prompts.unread / count
+            unread = self._prompts.unread_of(upstream.key) + unheard
         speed = self._speed_of(service.name)
         return Choice(upstream, missing, speed.seconds_for(unread + missing), count)
 
-    def _known_unread(self, upstream: UpstreamKey) -> int:
-        own = self._prompts.unread_of(upstream)
-        return own + self._others.unread_of(upstream)
+    def _work_at(
+        self, upstream: UpstreamKey, others: Mapping[UpstreamKey, UpstreamWork]
+    ) -> UpstreamWork:
+        """Return all hosts' work; unread tokens of unknown ones are as many as own."""
+        own = self.work_at(upstream)
+        if upstream in others:
+            return own + others[upstream]
+        return UpstreamWork(self._host_count() * own.unread, own.requests)
 
     def _note_unread(self, upstream: UpstreamKey) -> None:
         self._others.note_change(upstream, self._prompts.unread_of(upstream))
 
-    def _unheard_scale(self) -> float:
-        """Return by how much all hosts' work exceeds that of those that are heard."""
-        return max(1.0, self._host_count() / (1 + self._others.heard_count))
-
     def _rank(
         self, candidates: list[Announcement], facts: RequestFacts
     ) -> dict[str, int]:
@@ -299,6 +343,10 @@
         return standing
 
 
+def _tokens_of(work: UpstreamWork) -> int:
+    return work.unread + _REQUEST_TOKENS * work.requests
+
+
 def _missing_at_preferred(facts: RequestFacts) -> int:
     shared = sum(part.tokens for part in facts.prompt_parts[:-1])
     total = shared + facts.prompt_parts[-1].tokens
--- a/src/pepperstep/relay/prompts.py
+++ b/src/pepperstep/relay/prompts.py
@@ -72,11 +72,6 @@
         engine = self._engines.get(upstream)
         return 0 if engine is None else engine.unread
 
-    def all_unread(self) -> dict[UpstreamKey, int]:
-        """Return the unread tokens of each engine that has some."""
-        engines = self._engines.items()
-        return {name: engine.unread for name, engine in engines if engine.unread > 0}
-
     def begin(
         self, upstream: UpstreamKey, parts: Sequence[PromptPart], missing: int
     ) -> None:
--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -97,7 +97,7 @@
         with self._timers.move_on_after(_PATIENCE_SECONDS):
             while True:
                 await self._book.wait_change()
-                choice = self._chooser.choose(
+                choice = await self._chooser.choose(
                     attempt.service, attempt.facts, attempt.tried
                 )
                 if choice is not None:
@@ -190,7 +190,7 @@
         service = attempt.service
         self._budget.note_first(service.name)
         while True:
-            choice = self._chooser.choose(service, attempt.facts, attempt.tried)
+            choice = await self._chooser.choose(service, attempt.facts, attempt.tried)
             if choice is None and not attempt.tried:
                 choice = await self._wait_upstream(attempt)
             if choice is None:
--- a/src/pepperstep/relay/shared_load.py
+++ b/src/pepperstep/relay/shared_load.py
@@ -1,13 +1,16 @@
-"""What other entry hosts have sent to upstreams, told from each to each.
+"""All entry hosts' work at upstreams, kept by a few of them for all.
 
 A host sees its own requests only, and one long prompt keeps an engine busy for as
-long as a caller may wait for its first token. So hosts tell each other what they
-have sent that isn't read yet, as soon as that changes by enough to matter. An
-entry host tells a bounded number of others; for those that it hears nothing of,
-it takes their work as equal to what it knows.
+long as a caller may wait for its first token. So each upstream has a keeper, an entry
+host which the others tell what they have sent there. A host that places a prompt asks
+the keepers of the few upstreams that it weighs. Messages grow with a host's own
+requests, whatever the number of hosts.
+
+All hosts find the same keeper by hashes. What a keeper that is lost has known is told
+to the next one by the hosts' following notices.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 import trio
@@ -19,42 +22,51 @@
 from pepperstep.ports import PeerNetwork, Timers
 from pepperstep.proto import coordination_pb2 as pb
 
-__all__ = ["TOLD_TOKENS", "SharedLoad"]
-
-# Hosts that one host tells at most. With the pause between notices that is 800
-# messages of about 100 bytes a second: 80 KB/s where hosts have 5 Mbit/s. Three notices
-# a second are expected of 84 long prompts a second at 70 hosts (computed, not run).
-_MAX_PEERS = 16
-# Change of the unread tokens at one upstream that is told: an engine that reads
-# 36 to 68 tokens a millisecond, as those described, is busy for 40 to 80 ms with it.
-TOLD_TOKENS = 3_000
-# Least time between two notices, in seconds.
-_PAUSE_SECONDS = 0.02
-# One notice and its answer, in seconds.
-_CALL_SECONDS = 0.3
-# Time after which what a notice tells is taken as read, in seconds: the longest
-# prompts described take 1.3 s with nothing else to do.
-_UNREAD_SECONDS = 1.5
-# Time for which a host that has told something counts as one whose work is known,
-# in seconds: while little changes it tells nothing.
-_HEARD_SECONDS = 10.0
-# Time for which a host that didn't answer isn't told anything, in seconds.
+__all__ = ["TOLD_TOKENS", "SharedLoad", "UpstreamWork"]
+
+# Change of the unread tokens at one upstream that is told without a question. An
+# engine is busy with it for some hundredths of a second.
+TOLD_TOKENS = 1_000
+# Time in which changes are put together before they are told, in seconds.
+_PAUSE_SECONDS = 0.005
+# Time that a keeper has for its answer while a request waits, in seconds.
+_ASK_SECONDS = 0.03
+# The same where nothing waits for it.
+_TELL_SECONDS = 0.3
+# Time after which what a notice tells is taken as over, in seconds: long prompts take
+# a second and more with nothing else to do.
+_VALID_SECONDS = 1.5
+# Time for which a keeper that didn't answer is told and asked nothing, in seconds.
 _REST_SECONDS = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamWork:
+    """Work at one upstream."""
+
+    # Prompt tokens that it was sent and hasn't read.
+    unread: int = 0
+    # Requests that it works on.
+    requests: int = 0
+
+    def __add__(self, other: "UpstreamWork") -> "UpstreamWork":
+        return UpstreamWork(self.unread + other.unread, self.requests + other.requests)
+
+
 @dataclass(slots=True)
 class _Told:
-    """The latest notice of one host."""
+    """What one host has told last of its work at an upstream."""
 
     number: int
-    unread: dict[UpstreamKey, int]
+    work: UpstreamWork
     heard_at: float
 
 
 class SharedLoad:
-    """Unread tokens of other hosts by upstream, and the telling of this host's own.
+    """Work of all hosts, as asked for at keepers and kept for others.
 
-    `own` gives this host's unread tokens by upstream, `peers` the other entry hosts.
+    `own` gives this host's work at an upstream, `keepers` the entry hosts that keep
+    others' work, the same ones on all hosts.
     """
 
     def __init__(
@@ -62,97 +74,122 @@
         name: str,
         network: PeerNetwork,
         timers: Timers,
-        own: Callable[[], dict[UpstreamKey, int]],
-        peers: Callable[[], Iterable[str]],
+        own: Callable[[UpstreamKey], UpstreamWork],
+        keepers: Callable[[], Sequence[str]],
     ):
         self._name = name
         self._network = network
         self._timers = timers
         self._own = own
-        self._peers = peers
-        self._told: dict[str, _Told] = {}
-        # What this host has told last.
+        self._keepers = keepers
+        # What hosts have told this one, by upstream and host.
+        self._kept: dict[UpstreamKey, dict[str, _Told]] = {}
+        # Unread tokens that this host has told last.
         self._last: dict[UpstreamKey, int] = {}
-        self._changed = trio.Event()
+        self._changed: set[UpstreamKey] = set()
+        self._has_changed = trio.Event()
         self._number = 0
         self._resting: dict[str, float] = {}
-        network.handle(pb.UnreadNotice, self._on_notice)
-
-    @property
-    def heard_count(self) -> int:
-        """Hosts whose work is known now, this one excluded."""
-        oldest = self._timers.now() - _HEARD_SECONDS
-        return sum(told.heard_at >= oldest for told in self._told.values())
-
-    def unread_of(self, upstream: UpstreamKey) -> int:
-        """Return the tokens that others have sent to an upstream, as far as known."""
-        oldest = self._timers.now() - _UNREAD_SECONDS
-        return sum(
-            told.unread.get(upstream, 0)
-            for told in self._told.values()
-            if told.heard_at >= oldest
-        )
+        network.handle(pb.WorkNotice, self._on_notice)
+
+    async def ask(
+        self, upstreams: Iterable[UpstreamKey]
+    ) -> dict[UpstreamKey, UpstreamWork]:
+        """Return the other hosts' work at upstreams.
+
+        Upstreams whose keeper doesn't answer are left out.
+        """
+        found: dict[UpstreamKey, UpstreamWork] = {}
+
+        async def ask_one(upstream: UpstreamKey) -> None:
+            others = await self._exchange(upstream, _ASK_SECONDS)
+            if others is not None:
+                found[upstream] = others
+
+        async with trio.open_nursery() as nursery:
+            for upstream in upstreams:
+                nursery.start_soon(ask_one, upstream)
+        return found
 
     def note_change(self, upstream: UpstreamKey, unread: int) -> None:
         """Take in that this host's unread tokens at an upstream have changed."""
         if abs(unread - self._last.get(upstream, 0)) >= TOLD_TOKENS:
-            self._changed.set()
+            self._changed.add(upstream)
+            self._has_changed.set()
+
+    def forget(self, upstream: UpstreamKey) -> None:
+        """Drop what is known of an upstream that is gone."""
+        self._kept.pop(upstream, None)
+        self._last.pop(upstream, None)
 
     async def run(self) -> None:
-        """Tell the others what has changed until cancelled."""
+        """Tell keepers what has changed until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                await self._changed.wait()
-                self._changed = trio.Event()
-                self._last = self._own()
-                self._number += 1
-                notice = _notice_of(self._number, self._last)
-                for peer in self._chosen_peers():
-                    nursery.start_soon(self._tell, peer, notice)
+                await self._has_changed.wait()
                 await self._timers.sleep(_PAUSE_SECONDS)
-
-    def _chosen_peers(self) -> list[str]:
-        """Return the hosts that are told: few of many, others for each host."""
-        now = self._timers.now()
-        peers = [
-            peer
-            for peer in self._peers()
-            if peer != self._name and self._resting.get(peer, 0.0) <= now
-        ]
-        return sorted(peers, key=self._rank)[:_MAX_PEERS]
-
-    def _rank(self, peer: str) -> int:
-        return xxhash.xxh64_intdigest(f"{self._name}>{peer}".encode())
-
-    async def _tell(self, peer: str, notice: pb.UnreadNotice) -> None:
+                changed, self._changed = self._changed, set()
+                self._has_changed = trio.Event()
+                for upstream in sorted(changed):
+                    nursery.start_soon(self._exchange, upstream, _TELL_SECONDS)
+
+    async def _exchange(
+        self, upstream: UpstreamKey, timeout: float
+    ) -> UpstreamWork | None:
+        """Tell this host's work at an upstream, and return the others'.
+
+        None if its keeper doesn't answer, or didn't a moment ago.
+        """
+        keeper = self._keeper_of(upstream)
+        if keeper is None or self._resting.get(keeper, 0.0) > self._timers.now():
+            return None
+        notice = self._make_notice(upstream)
+        if keeper == self._name:
+            return self._keep(notice, self._name)
         try:
-            await self._network.call(peer, notice, _CALL_SECONDS)
+            reply = await self._network.call(keeper, notice, timeout)
         except Failure as failure:
-            if self._resting.get(peer, 0.0) <= self._timers.now():
-                logging.info("load: %s isn't told for now: %s", peer, failure.text)
-            self._resting[peer] = self._timers.now() + _REST_SECONDS
+            if self._resting.get(keeper, 0.0) <= self._timers.now():
+                logging.info("load: %s rests as a keeper: %s", keeper, failure.text)
+            self._resting[keeper] = self._timers.now() + _REST_SECONDS
+            return None
+        return UpstreamWork(reply.unread, reply.requests)
+
+    def _make_notice(self, upstream: UpstreamKey) -> pb.WorkNotice:
+        own = self._own(upstream)
+        self._last[upstream] = own.unread
+        self._number += 1
+        name, incarnation = upstream
+        return pb.WorkNotice(
+            upstream=name,
+            incarnation=incarnation,
+            unread=own.unread,
+            requests=own.requests,
+            number=self._number,
+        )
+
+    def _keeper_of(self, upstream: UpstreamKey) -> str | None:
+        def rank(keeper: str) -> int:
+            return xxhash.xxh64_intdigest(f"{keeper}/{upstream[0]}".encode())
+
+        return min(self._keepers(), key=rank, default=None)
 
     async def _on_notice(
-        self, message: pb.UnreadNotice, sender: str
-    ) -> pb.UnreadNoticeReply:
-        known = self._told.get(sender)
+        self, message: pb.WorkNotice, sender: str
+    ) -> pb.WorkNoticeReply:
+        others = self._keep(message, sender)
+        return pb.WorkNoticeReply(unread=others.unread, requests=others.requests)
+
+    def _keep(self, notice: pb.WorkNotice, sender: str) -> UpstreamWork:
+        """Take in what a host tells and return the other hosts' work."""
+        told = self._kept.setdefault((notice.upstream, notice.incarnation), {})
         now = self._timers.now()
-        is_fresh = known is not None and now - known.heard_at < _UNREAD_SECONDS
-        if is_fresh and message.number < known.number:
-            # It was overtaken.
-            return pb.UnreadNoticeReply()
-        unread = {
-            (each.upstream, each.incarnation): each.tokens for each in message.unread
-        }
-        self._told[sender] = _Told(message.number, unread, now)
-        return pb.UnreadNoticeReply()
-
-
-def _notice_of(number: int, unread: dict[UpstreamKey, int]) -> pb.UnreadNotice:
-    return pb.UnreadNotice(
-        number=number,
-        unread=[
-            pb.UnreadTokens(upstream=name, incarnation=incarnation, tokens=tokens)
-            for (name, incarnation), tokens in unread.items()
-        ],
-    )
+        oldest = now - _VALID_SECONDS
+        for name in [name for name, each in told.items() if each.heard_at < oldest]:
+            del told[name]
+        known = told.get(sender)
+        if known is None or notice.number > known.number:
+            work = UpstreamWork(notice.unread, notice.requests)
+            told[sender] = _Told(notice.number, work, now)
+        others = (each.work for name, each in told.items() if name != sender)
+        return sum(others, UpstreamWork())
--- a/src/pepperstep/relay_hosts.py
+++ b/src/pepperstep/relay_hosts.py
@@ -123,8 +123,8 @@
             settings.peer_address,
             ports.peers,
             ports.timers,
-            prompts.all_unread,
-            self._other_entries,
+            lambda upstream: self._chooser.work_at(upstream),
+            lambda: self.sync.directory.keepers,
         )
         self._chooser = Chooser(
             self.book,
@@ -232,9 +232,6 @@
     def _host_count(self) -> int:
         return self.sync.entry_count
 
-    def _other_entries(self) -> list[str]:
-        return [each.peer for each in self.sync.directory.entries if each.peer]
-
     def _true_time(self) -> float:
         return self.sync.true_time
 
@@ -243,15 +240,18 @@
             self._pools.drop(announcement.key)
         if announcement.is_gone:
             self._chooser.forget(announcement.key)
+            self._shared_load.forget(announcement.key)
 
     def _note_ended(self, before: Announcement) -> None:
         """Drop what an upstream had in the incarnation before its restart."""
         self._pools.cut(before.key)
         self._chooser.forget(before.key)
+        self._shared_load.forget(before.key)
 
     def _note_forgotten(self, upstream: Announcement) -> None:
         self._pools.drop(upstream.key)
         self._chooser.forget(upstream.key)
+        self._shared_load.forget(upstream.key)
         self._silence_votes.forget(upstream.key)
 
     def _note_reply(self, control_host: str, reply: pb.SyncReply, age: float) -> None:
--- a/tests/relaying/test_placement.py
+++ b/tests/relaying/test_placement.py
@@ -1,5 +1,7 @@
 """What callers get by placement, played against model engines in virtual time."""
 
+from statistics import fmean
+
 import pytest
 
 from measure.placement import PlacementSettings, play_placement
@@ -27,14 +29,31 @@
     assert result.largest_share <= 0.15
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_hosts_that_tell_their_work_place_better(seed):
+def test_hosts_that_tell_their_work_place_better():
     """While few wait, the rest is due to what hosts don't know of each other."""
     settings = PlacementSettings(load=0.6, engines=9, seconds=30.0, tells=True)
-    result = play_placement(settings, seed)
-    # Where they tell nothing, 98.0 to 99.3%, and 0.81 to 0.93 s.
-    assert result.in_time / result.asked >= 0.985
-    assert result.percentile(0.99) <= 0.88
+    results = [play_placement(settings, seed) for seed in range(16)]
+    in_time = [result.in_time / result.asked for result in results]
+    # Where they tell nothing, 99.1% and 0.79 s; where each tells all, 99.2 and 0.755.
+    assert min(in_time[:3]) >= 0.985
+    assert fmean(in_time) >= 0.993
+    assert fmean(result.percentile(0.99) for result in results) <= 0.74
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_hosts_that_each_see_little_place_as_well_as_few(seed):
+    """The aim: the number of hosts that a load is spread over costs less than 0.03.
+
+    Where they told 16 others, it cost 0.07 to 0.11.
+    """
+    shares = {}
+    for hosts in (7, 191):
+        settings = PlacementSettings(
+            hosts=hosts, engines=39, load=6.0, seconds=16.0, tells=True
+        )
+        result = play_placement(settings, seed)
+        shares[hosts] = result.in_time / result.asked
+    assert shares[191] >= shares[7] - 0.03
 
 
 def test_hosts_send_a_parts_prompts_to_few_engines():
--- a/tests/relaying/test_shared_load.py
+++ b/tests/relaying/test_shared_load.py
@@ -1,6 +1,7 @@
 """Entry hosts that tell each other what upstreams have yet to read."""
 
 import random
+from contextlib import asynccontextmanager
 
 import pytest
 import trio
@@ -14,7 +15,7 @@
 from pepperstep.proto import coordination_pb2 as pb
 from pepperstep.relay import Chooser, Pools
 from pepperstep.relay.prompts import PromptMemory
-from pepperstep.relay.shared_load import SharedLoad
+from pepperstep.relay.shared_load import TOLD_TOKENS, SharedLoad
 from tests.relaying.world import open_world, request
 
 OK = AnswerHead(200, ((b"pepperstep-attempt-id", b"id-1"),))
@@ -29,16 +30,20 @@
     """One entry host's placement."""
 
     def __init__(self, name: str, names, network, nursery, seed: int = 0):
+        self.name = name
+        self.names = names
         timers = FakeTimers(random.Random(seed))
         peers = FakePeers(name, network, timers, nursery)
-        book = UpstreamBook(trio.current_time)
+        self.book = UpstreamBook(trio.current_time)
         for upstream in UPSTREAMS:
-            book.note(Announcement(upstream, "model", f"{upstream}:80", "z1"))
+            self.book.note(Announcement(upstream, "model", f"{upstream}:80", "z1"))
         prompts = PromptMemory(trio.current_time)
-        self.load = SharedLoad(name, peers, timers, prompts.all_unread, lambda: names)
+        self.load = SharedLoad(
+            name, peers, timers, lambda key: self.chooser.work_at(key), lambda: names
+        )
         pools = Pools(FakeConnector(), lambda: len(names), trio.current_time)
         self.chooser = Chooser(
-            book,
+            self.book,
             pools,
             "z1",
             lambda: len(names),
@@ -49,107 +54,177 @@
         )
         nursery.start_soon(self.load.run)
 
-    def send(self, tokens: int):
+    async def send(self, tokens: int):
         """Place a prompt of its own tokens and return the choice."""
         facts = RequestFacts(b"", prompt_parts=(PromptPart("own", tokens),))
-        choice = self.chooser.choose(SERVICE, facts, ())
+        choice = await self.chooser.choose(SERVICE, facts, ())
         self.chooser.begin(choice, facts)
         return choice
 
+    async def others_at(self, choice) -> int:
+        """Return other hosts' unread tokens at a chosen upstream."""
+        key = choice.upstream.key
+        return (await self.load.ask([key]))[key].unread
 
-@pytest.fixture
-async def hosts(autojump_clock):
-    """Give three entry hosts with three upstreams."""
-    names = ["e1", "e2", "e3"]
+
+@asynccontextmanager
+async def open_hosts(count: int):
+    """Give entry hosts with three upstreams, and their network."""
+    names = [f"e{number}" for number in range(1, count + 1)]
     network = FakeNetwork(random.Random(0))
     async with trio.open_nursery() as nursery:
-        yield [
+        hosts = [
             Host(name, names, network, nursery, seed) for seed, name in enumerate(names)
         ]
+        yield hosts, network
         nursery.cancel_scope.cancel()
 
 
+@pytest.fixture
+async def hosts(autojump_clock):
+    """Give three entry hosts with three upstreams."""
+    async with open_hosts(3) as (hosts, _):
+        yield hosts
+
+
 async def test_small_prompts_avoid_what_reads_another_hosts_large_one(hosts):
     one, two, three = hosts
-    large = one.send(LARGE).upstream.id
+    large = (await one.send(LARGE)).upstream.id
     await trio.sleep(0.05)
     for host in (two, three):
         for _ in range(10):
-            choice = host.send(SMALL)
+            choice = await host.send(SMALL)
             assert choice.upstream.id != large
             host.chooser.note_read(choice, 0.1)
 
 
 async def test_two_hosts_place_large_prompts_apart(hosts):
     one, two, _ = hosts
-    first = one.send(LARGE).upstream.id
+    first = (await one.send(LARGE)).upstream.id
     await trio.sleep(0.05)
-    assert two.send(LARGE).upstream.id != first
+    assert (await two.send(LARGE)).upstream.id != first
 
 
 async def test_what_was_read_counts_no_more(hosts):
     one, two, _ = hosts
-    choice = one.send(LARGE)
+    choice = await one.send(LARGE)
     await trio.sleep(0.05)
-    assert two.load.unread_of(choice.upstream.key) == LARGE
+    assert await two.others_at(choice) == LARGE
     one.chooser.note_read(choice, 0.9)
     await trio.sleep(0.05)
-    assert two.load.unread_of(choice.upstream.key) == 0
-    assert two.load.heard_count == 1
+    assert await two.others_at(choice) == 0
 
 
 async def test_prediction_takes_in_what_others_have_sent(hosts):
     one, two, _ = hosts
     for _ in UPSTREAMS:
-        one.send(LARGE)
+        await one.send(LARGE)
         await trio.sleep(0.05)
     before = LARGE / 36_000
-    assert two.send(SMALL).first_token >= before
+    assert (await two.send(SMALL)).first_token >= before
 
 
 async def test_host_that_died_is_believed_for_as_long_as_a_prompt_is_read(hosts):
     one, two, _ = hosts
-    choice = one.send(LARGE)
+    choice = await one.send(LARGE)
     await trio.sleep(0.05)
+    assert await two.others_at(choice) == LARGE
     await trio.sleep(1.5)
-    assert two.load.unread_of(choice.upstream.key) == 0
-    await trio.sleep(10.0)
-    assert two.load.heard_count == 0
+    assert await two.others_at(choice) == 0
 
 
 async def test_small_changes_are_not_told(hosts):
     one, two, _ = hosts
-    one.send(SMALL)
+    choice = await one.send(TOLD_TOKENS - 1)
     await trio.sleep(0.1)
-    assert two.load.heard_count == 0
+    assert await two.others_at(choice) == 0
 
 
 async def test_notice_that_was_overtaken_is_left_out(hosts):
     _, two, _ = hosts
 
     async def notice(number: int, tokens: int) -> None:
-        unread = [pb.UnreadTokens(upstream="u1", tokens=tokens)]
-        await two.load._on_notice(pb.UnreadNotice(unread=unread, number=number), "e9")
+        message = pb.WorkNotice(upstream="u1", unread=tokens, number=number)
+        await two.load._on_notice(message, "e9")
+
+    async def kept() -> int:
+        message = pb.WorkNotice(upstream="u1", number=1)
+        return (await two.load._on_notice(message, "e8")).unread
 
     await notice(2, 100)
     await notice(1, 50_000)
-    assert two.load.unread_of(("u1", 0)) == 100
+    assert await kept() == 100
     # A host that has started again begins anew.
     await trio.sleep(1.5)
     await notice(1, 300)
-    assert two.load.unread_of(("u1", 0)) == 300
-
-
-async def test_many_hosts_tell_a_bounded_number_of_others(autojump_clock):
-    names = [f"e{number}" for number in range(70)]
-    network = FakeNetwork(random.Random(0))
-    async with trio.open_nursery() as nursery:
-        hosts = [Host(name, names, network, nursery) for name in names]
-        hosts[0].send(LARGE)
-        await trio.sleep(0.1)
-        told = sum(host.load.heard_count for host in hosts)
-        assert told == 16
-        nursery.cancel_scope.cancel()
+    assert await kept() == 300
+
+
+async def test_messages_of_a_request_do_not_grow_with_the_number_of_hosts(
+    autojump_clock,
+):
+    """With 16 peers that are told each change, it was 64 at 70 hosts and more."""
+    for count in (7, 70, 200):
+        async with open_hosts(count) as (hosts, network):
+            for host in hosts[:7]:
+                choice = await host.send(LARGE)
+                await trio.sleep(0.05)
+                host.chooser.note_read(choice, 0.5)
+                await trio.sleep(0.05)
+            sent = network.sent["WorkNotice"] + network.sent["WorkNoticeReply"]
+            assert sent <= 7 * 2 * 5
+
+
+async def test_a_keeper_that_is_silent_holds_requests_up_for_a_moment_only(
+    autojump_clock,
+):
+    async with open_hosts(3) as (hosts, network):
+        host = hosts[1]
+        keeper = host.load._keeper_of((UPSTREAMS[0], 0))
+        assert keeper != host.name
+        network.isolate(keeper)
+        begun = trio.current_time()
+        assert await host.send(SMALL) is not None
+        assert trio.current_time() - begun <= 0.05
+        begun = trio.current_time()
+        for _ in range(10):
+            await host.send(SMALL)
+        assert trio.current_time() - begun <= 0.05
+
+
+async def test_an_upstream_that_left_meanwhile_gets_nothing(autojump_clock):
+    async with open_hosts(3) as (hosts, network):
+        network.min_delay = network.max_delay = 0.01
+        host = hosts[1]
+        assert host.load._keeper_of((UPSTREAMS[0], 0)) != host.name
+        async with trio.open_nursery() as nursery:
+            chosen = []
+
+            async def send() -> None:
+                chosen.append(await host.send(SMALL))
+
+            nursery.start_soon(send)
+            await trio.sleep(0.005)
+            for upstream in UPSTREAMS[:2]:
+                leaving = Announcement(
+                    upstream, "model", "", "z1", sequence=1, is_leaving=True
+                )
+                host.book.note(leaving)
+        assert chosen[0].upstream.id == UPSTREAMS[2]
+
+
+async def test_the_next_keeper_is_told_when_one_is_lost(autojump_clock):
+    async with open_hosts(3) as (hosts, network):
+        one, two, three = hosts
+        choice = await one.send(LARGE)
+        await trio.sleep(0.05)
+        keeper = one.load._keeper_of(choice.upstream.key)
+        one.names.remove(keeper)
+        one.chooser.note_read(choice, 0.2)
+        again = await one.send(LARGE)
+        await trio.sleep(0.05)
+        asker = next(each for each in (two, three) if each.name != keeper)
+        assert await asker.others_at(again) >= LARGE
 
 
 async def test_hosts_that_are_gone_are_told_only_now_and_then(autojump_clock):
@@ -166,4 +241,4 @@
             answer = await world.ask("e0:1", request("/stream/x", part))
             assert answer.status == 200
             await trio.sleep(0.05)
-        assert world.network.sent["UnreadNotice"] <= 2
+        assert world.network.sent["WorkNotice"] <= 2
