A request that an upstream began and failed is in the usage

Cause: runs were counted at their first token or whole answer, so a run that ended with the upstream's own failure wasn't.

Change: an upstream's failure after it has begun counts the request, once whatever it's tried again. A refusal that says that nothing has run counts nothing.

Proof of reports that age on their way names a test of its own, as the older test's control hosts all hear the entry host themselves now; the older test stays.

--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -106,7 +106,7 @@
         "coordination/control_desk.py",
         "EntryReport.from_message(message), age + message.age)",
         "EntryReport.from_message(message), age)",
-        (f"{_COORDINATION}test_killed_entry_host_leaves_the_directory",),
+        ("tests/relaying/test_entry_book.py::test_reports_age_on_their_way",),
     ),
     Mechanism(
         7,
--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -249,6 +249,7 @@
         """Keep an upstream's failure, which the caller gets if no retry helps."""
         body = b"".join([piece async for piece in connection.pieces()])
         attempt.note_failed(attempt.choice.upstream.id, f"its answer is {head.status}")
+        self._count_run(attempt)
         headers = self._wire.write_answer(head, is_framed=True)
         attempt.kept = Answer(head.status, body, headers)
         return Outcome.FAILED
@@ -347,9 +348,13 @@
         self._chooser.note_read(attempt.choice, seconds)
 
     def _count(self, attempt: Attempt) -> None:
-        """Count the run once, when its first token or answer is there."""
+        """Take in that a run's first token or answer is there."""
         self._note_read(attempt, is_read=True)
         attempt.first_at = attempt.first_at or self._timers.now()
+        self._count_run(attempt)
+
+    def _count_run(self, attempt: Attempt) -> None:
+        """Count a request once for the accounting, whether or not its run fails."""
         if attempt.is_counted or not attempt.workspace:
             return
         attempt.is_counted = True
--- a/tests/relaying/test_entry_book.py
+++ b/tests/relaying/test_entry_book.py
@@ -8,6 +8,7 @@
 from pepperstep.coordination import Directory, EntryBook, EntryReport
 from pepperstep.fakes.relaying import Reply
 from pepperstep.ports.exchange import AnswerHead
+from pepperstep.proto import coordination_pb2 as pb
 from tests.relaying.world import document, open_world, request
 
 ZONES = ("z1", "z2", "z3")
@@ -208,6 +209,17 @@
         assert len(world.entries["e8:1"].entry_addresses("z1")) == 59
 
 
+async def test_reports_age_on_their_way(autojump_clock):
+    """An entry host that another control host has lost isn't there for this one."""
+    async with open_world(entries=1) as world:
+        desk = world.controls["c0:1"].desk
+        for number, age in ((7, 0.1), (8, 1.0)):
+            message = report(number).to_message(age)
+            desk.absorb("c1:1", pb.SyncReply(entries=[message]), 0.2)
+        addresses = world.controls["c0:1"].entry_addresses("z1")
+        assert addresses == ["e0:1:callers", "e7:callers"]
+
+
 WORKSPACES = 19
 
 
--- a/tests/relaying/test_relay.py
+++ b/tests/relaying/test_relay.py
@@ -134,6 +134,36 @@
         assert dict(exchange.answer_head.headers)[b"pepperstep-replica-seal"] == b"s"
 
 
+@pytest.mark.parametrize("path", ["/safe/1", "/unsafe/1", "/stream/1"])
+async def test_request_that_an_upstream_began_and_failed_is_in_the_usage(
+    autojump_clock, path
+):
+    """It has run, once to the accounting, whatever it was tried again."""
+    async with open_world() as world:
+        for service in ("plain", "model"):
+            fails = [lambda sent: Reply(head(500), (b"oops",))] * 2
+            await serve(world, service, *fails)
+        assert (await world.ask("e0:1", request(path))).status == 500
+        await trio.sleep(1.0)
+        assert count_runs(world) == 1
+
+
+async def test_request_that_no_upstream_began_is_not_in_the_usage(autojump_clock):
+    async with open_world() as world:
+        await serve(world, "plain", refuses)
+        assert (await world.ask("e0:1", request("/safe/1"))).status == 503
+        await trio.sleep(1.0)
+        assert count_runs(world) == 0
+
+
+def count_runs(world) -> int:
+    """Return the runs of the latest windows, as a control host knows them."""
+    entries = world.controls["c0:1"].entries
+    newest = int(world.timers["c0:1"].wall() // 5)
+    windows = (entries.counts_of(newest - age) for age in range(4))
+    return sum(sum(counts.values()) for counts in windows)
+
+
 async def test_cut_answer_is_not_passed_on(autojump_clock):
     async with open_world() as world:
         await serve(world, "plain", lambda sent: Reply(head(200), (b"ch",), True))
