Hosts connect to keepers before requests wait for their answers

Cause: the first question to a keeper has to connect, takes longer than the 30 ms that a request waits, and the keeper rested for 2 s after it.

Change: each host greets the keepers one after the other, in an order of its own. A keeper that doesn't answer rests for 0.25 s the first time, 2 s until it answers again.

--- a/src/pepperstep/relay/shared_load.py
+++ b/src/pepperstep/relay/shared_load.py
@@ -36,8 +36,16 @@
 # Time after which what a notice tells is taken as over, in seconds: long prompts take
 # a second and more with nothing else to do.
 _VALID_SECONDS = 1.5
-# Time for which a keeper that didn't answer is told and asked nothing, in seconds.
+# Time for which a keeper that didn't answer is told and asked nothing, in seconds: the
+# first time, as it may just be connecting, and until it answers again.
+_FIRST_REST_SECONDS = 0.25
 _REST_SECONDS = 2.0
+# Time that a new keeper has to answer a first notice, in seconds, and the pause between
+# two new ones: hosts that start together connect one after the other.
+_GREET_SECONDS = 1.0
+_GREET_PAUSE_SECONDS = 0.02
+# Between looks for new keepers, in seconds.
+_LOOK_SECONDS = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +97,7 @@
         self._changed: set[UpstreamKey] = set()
         self._has_changed = trio.Event()
         self._number = 0
+        # Times until which keepers rest that haven't answered since.
         self._resting: dict[str, float] = {}
         network.handle(pb.WorkNotice, self._on_notice)
 
@@ -125,6 +134,7 @@
     async def run(self) -> None:
         """Tell keepers what has changed until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._greet_keepers)
             while True:
                 await self._has_changed.wait()
                 await self._timers.sleep(_PAUSE_SECONDS)
@@ -133,6 +143,38 @@
                 for upstream in sorted(changed):
                     nursery.start_soon(self._exchange, upstream, _TELL_SECONDS)
 
+    async def _greet_keepers(self) -> None:
+        """Connect to keepers before requests wait for their answers."""
+        known: set[str] = set()
+        async for _ in self._timers.subscribe(_LOOK_SECONDS):
+            keepers = {keeper for keeper in self._keepers() if keeper != self._name}
+            for keeper in sorted(keepers - known, key=self._rank):
+                await self._greet(keeper)
+                await self._timers.sleep(_GREET_PAUSE_SECONDS)
+            known = keepers
+
+    async def _greet(self, keeper: str) -> None:
+        try:
+            await self._network.call(keeper, pb.WorkNotice(), _GREET_SECONDS)
+        except Failure as failure:
+            self._rest(keeper, failure)
+
+    def _rank(self, keeper: str) -> int:
+        """Return a number that orders keepers otherwise on each host."""
+        return xxhash.xxh64_intdigest(f"{self._name}>{keeper}".encode())
+
+    def _rest(self, keeper: str, failure: Failure) -> None:
+        if self._is_resting(keeper):
+            return
+        seconds = _REST_SECONDS if keeper in self._resting else _FIRST_REST_SECONDS
+        logging.info(
+            "load: %s rests as a keeper for %.2f s: %s", keeper, seconds, failure.text
+        )
+        self._resting[keeper] = self._timers.now() + seconds
+
+    def _is_resting(self, keeper: str) -> bool:
+        return self._resting.get(keeper, 0.0) > self._timers.now()
+
     async def _exchange(
         self, upstream: UpstreamKey, timeout: float
     ) -> UpstreamWork | None:
@@ -141,7 +183,7 @@
         None if its keeper doesn't answer, or didn't a moment ago.
         """
         keeper = self._keeper_of(upstream)
-        if keeper is None or self._resting.get(keeper, 0.0) > self._timers.now():
+        if keeper is None or self._is_resting(keeper):
             return None
         notice = self._make_notice(upstream)
         if keeper == self._name:
@@ -149,10 +191,9 @@
         try:
             reply = await self._network.call(keeper, notice, timeout)
         except Failure as failure:
-            if self._resting.get(keeper, 0.0) <= self._timers.now():
-                logging.info("load: %s rests as a keeper: %s", keeper, failure.text)
-            self._resting[keeper] = self._timers.now() + _REST_SECONDS
+            self._rest(keeper, failure)
             return None
+        self._resting.pop(keeper, None)
         return UpstreamWork(reply.unread, reply.requests)
 
     def _make_notice(self, upstream: UpstreamKey) -> pb.WorkNotice:
@@ -181,7 +222,12 @@
         return pb.WorkNoticeReply(unread=others.unread, requests=others.requests)
 
     def _keep(self, notice: pb.WorkNotice, sender: str) -> UpstreamWork:
-        """Take in what a host tells and return the other hosts' work."""
+        """Take in what a host tells and return the other hosts' work.
+
+        A greeting names no upstream.
+        """
+        if not notice.upstream:
+            return UpstreamWork()
         told = self._kept.setdefault((notice.upstream, notice.incarnation), {})
         now = self._timers.now()
         oldest = now - _VALID_SECONDS
--- a/tests/relaying/test_shared_load.py
+++ b/tests/relaying/test_shared_load.py
@@ -19,6 +19,7 @@
 from tests.relaying.world import open_world, request
 
 OK = AnswerHead(200, ((b"pepperstep-attempt-id", b"id-1"),))
+KEEPERS = 16
 UPSTREAMS = ("u1", "u2", "u3")
 SERVICE = Service("model", "", 0)
 # The largest prompts of the users' sheet, and the mean of the small ones.
@@ -39,7 +40,11 @@
             self.book.note(Announcement(upstream, "model", f"{upstream}:80", "z1"))
         prompts = PromptMemory(trio.current_time)
         self.load = SharedLoad(
-            name, peers, timers, lambda key: self.chooser.work_at(key), lambda: names
+            name,
+            peers,
+            timers,
+            lambda key: self.chooser.work_at(key),
+            lambda: names[:KEEPERS],
         )
         pools = Pools(FakeConnector(), lambda: len(names), trio.current_time)
         self.chooser = Chooser(
@@ -166,6 +171,9 @@
     """With 16 peers that are told each change, it was 64 at 70 hosts and more."""
     for count in (7, 70, 200):
         async with open_hosts(count) as (hosts, network):
+            # Until all have greeted the keepers.
+            await trio.sleep(2.0)
+            network.sent.clear()
             for host in hosts[:7]:
                 choice = await host.send(LARGE)
                 await trio.sleep(0.05)
@@ -192,6 +200,16 @@
         assert trio.current_time() - begun <= 0.05
 
 
+async def test_keepers_are_connected_to_before_the_first_request(autojump_clock):
+    async with open_hosts(40) as (hosts, network):
+        await trio.sleep(1.0)
+        # Each host has greeted all keepers but itself.
+        assert network.sent["WorkNotice"] == 40 * KEEPERS - KEEPERS
+        network.sent.clear()
+        await trio.sleep(5.0)
+        assert network.sent["WorkNotice"] == 0
+
+
 async def test_an_upstream_that_left_meanwhile_gets_nothing(autojump_clock):
     async with open_hosts(3) as (hosts, network):
         network.min_delay = network.max_delay = 0.01
