A zone with many entry hosts is told its own and few others

Cause: 64 addresses were named, those of the caller's zone first and then the others' in the order of their names. With 35 to 41 entry hosts a zone, a third of each zone's callers went to the alphabetically first of the other zones, which got four zones' third besides its own; with 20 to 26 a zone, two thirds went elsewhere.

Change: from 16 hosts of its own on, a zone gets four others, each zone other ones by hashes, for when it's cut off. Hosts no longer need each other's addresses from there. Small deployments are told all, as before.

--- a/src/pepperstep/coordination/directory.py
+++ b/src/pepperstep/coordination/directory.py
@@ -19,6 +19,10 @@
 
 # Addresses that a caller is told, and that a host keeps: the most that callers take.
 MAX_ADDRESSES = 64
+# Entry hosts of a caller's zone that are enough for it, and those of other zones that
+# are named besides.
+_MANY_OWN = 16
+_FEW_OTHERS = 4
 # Entry hosts for each keeper, and keepers at least. All connect to each keeper, and a
 # keeper serves the others' requests, so both are bounded.
 _HOSTS_PER_KEEPER = 8
@@ -29,10 +33,9 @@
 class DirectoryEntry:
     """An entry host that takes callers' requests."""
 
-    # For callers, and among hosts.
+    # For callers.
     address: str
     zone: str
-    peer: str = ""
 
 
 @dataclass(frozen=True)
@@ -46,23 +49,25 @@
 
     @classmethod
     def from_reports(cls, reports: Collection[EntryReport], zone: str) -> "Directory":
-        """Return the entry hosts of `reports`, those of `zone` first."""
-        entries = sorted(
-            (
-                DirectoryEntry(each.caller_address, each.zone, each.host)
-                for each in reports
-            ),
-            key=lambda entry: (entry.zone != zone, entry),
-        )
-        return cls(tuple(entries[:MAX_ADDRESSES]), _choose_keepers(reports))
+        """Return the entry hosts of `reports`, those of `zone` first.
+
+        Callers take any of them. A zone with many of its own gets few others, in case
+        that it's cut off, and each zone other ones.
+        """
+        entries = [DirectoryEntry(each.caller_address, each.zone) for each in reports]
+        own = sorted(entry for entry in entries if entry.zone == zone)
+        others = [entry for entry in entries if entry.zone != zone]
+        others.sort(key=lambda entry: _hash(f"{zone}/{entry.address}"))
+        if len(own) >= _MANY_OWN:
+            others = others[:_FEW_OTHERS]
+            own = own[: MAX_ADDRESSES - len(others)]
+        named = own + others
+        return cls(tuple(named[:MAX_ADDRESSES]), _choose_keepers(reports))
 
     @classmethod
     def from_message(cls, message: pb.Directory) -> "Directory":
         """Return the directory that `message` carries."""
-        entries = (
-            DirectoryEntry(each.address, each.zone, each.peer)
-            for each in message.entries
-        )
+        entries = (DirectoryEntry(each.address, each.zone) for each in message.entries)
         return cls(tuple(entries), tuple(message.keepers))
 
     @cached_property
@@ -70,8 +75,7 @@
         """A number that tells this content from others, 0 for no entry hosts."""
         if not self.entries:
             return 0
-        content = repr((self.entries, self.keepers))
-        return xxhash.xxh64_intdigest(content.encode())
+        return _hash(repr((self.entries, self.keepers)))
 
     def addresses(self, zone: str, without: str = "") -> list[str]:
         """Return addresses for callers in `zone`, theirs first."""
@@ -82,7 +86,7 @@
     def to_message(self) -> pb.Directory:
         """Return the directory as a message."""
         entries = [
-            pb.DirectoryEntry(address=each.address, zone=each.zone, peer=each.peer)
+            pb.DirectoryEntry(address=each.address, zone=each.zone)
             for each in self.entries
         ]
         return pb.Directory(entries=entries, keepers=self.keepers)
@@ -92,5 +96,8 @@
     """Return the hosts with the lowest hashes of their names."""
     count = max(_LEAST_KEEPERS, len(reports) // _HOSTS_PER_KEEPER)
     names = (report.host for report in reports)
-    ranked = sorted(names, key=lambda name: xxhash.xxh64_intdigest(name.encode()))
-    return tuple(ranked[:count])
+    return tuple(sorted(names, key=_hash)[:count])
+
+
+def _hash(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
--- a/tests/relaying/test_directory.py
+++ b/tests/relaying/test_directory.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from pepperstep.coordination import Directory
+from pepperstep.coordination import Directory, EntryReport
 from pepperstep.coordination.directory import MAX_ADDRESSES, DirectoryEntry
 from tests.relaying.world import open_world
 
@@ -81,6 +81,51 @@
         assert "e1:1:callers" in entry.entry_addresses("z1")
 
 
+def reports_of(counts: dict[str, int]) -> list[EntryReport]:
+    return [
+        EntryReport(f"{zone}-{number}:1", 1, f"{zone}-{number}:callers", zone, True)
+        for zone, count in counts.items()
+        for number in range(count)
+    ]
+
+
+def test_a_zone_with_many_entry_hosts_gets_its_own_and_few_others():
+    """With 64 addresses, a third of the callers' traffic went to other zones."""
+    reports = reports_of({"a": 41, "b": 36, "c": 40, "d": 35, "e": 39})
+    named = {
+        zone: Directory.from_reports(reports, zone).addresses(zone) for zone in "abcde"
+    }
+    for zone, addresses in named.items():
+        own = [address for address in addresses if address.startswith(zone)]
+        assert len(own) == sum(report.zone == zone for report in reports)
+        assert 1 <= len(addresses) - len(own) <= len(addresses) / 8
+        assert addresses[: len(own)] == own
+    others = [
+        address
+        for zone, addresses in named.items()
+        for address in addresses
+        if not address.startswith(zone)
+    ]
+    # So that no host gets much of the other zones' traffic.
+    assert max(others.count(address) for address in others) <= 2
+
+
+def test_a_zone_with_few_entry_hosts_gets_all():
+    reports = reports_of({"a": 3, "b": 2, "c": 60})
+    assert len(Directory.from_reports(reports, "a").entries) == MAX_ADDRESSES
+    assert len(Directory.from_reports(reports, "b").addresses("b")) == MAX_ADDRESSES
+    assert len(Directory.from_reports(reports[:5], "a").entries) == 5
+
+
+def test_keepers_are_the_same_for_all_zones_and_change_little():
+    reports = reports_of({"a": 90, "b": 100})
+    keepers = Directory.from_reports(reports, "a").keepers
+    assert keepers == Directory.from_reports(reports[::-1], "b").keepers
+    assert len(keepers) == 190 // 8
+    rest = [report for report in reports if report.host != keepers[0]]
+    assert len(set(Directory.from_reports(rest, "a").keepers) - set(keepers)) == 1
+
+
 async def test_no_more_is_told_than_callers_take(autojump_clock):
     async with open_world() as world:
         reports = world.controls["c0:1"].entries.ready() * MAX_ADDRESSES
