--- a/src/pepperstep/coordination/directory.py
+++ b/src/pepperstep/coordination/directory.py
@@ -23,10 +23,9 @@
 # are named besides.
 _MANY_OWN = 16
 _FEW_OTHERS = 4
-# Entry hosts for each keeper, and keepers at least. All connect to each keeper, and a
-# keeper serves the others' requests, so both are bounded.
-_HOSTS_PER_KEEPER = 8
-_LEAST_KEEPERS = 16
+# Entry hosts that keep the others' work. All connect to each of them, and a connection
+# has two threads at both ends.
+_KEEPERS = 16
 
 
 @dataclass(frozen=True, order=True, slots=True)
@@ -94,9 +93,8 @@
 
 def _choose_keepers(reports: Collection[EntryReport]) -> tuple[str, ...]:
     """Return the hosts with the lowest hashes of their names."""
-    count = max(_LEAST_KEEPERS, len(reports) // _HOSTS_PER_KEEPER)
     names = (report.host for report in reports)
-    return tuple(sorted(names, key=_hash)[:count])
+    return tuple(sorted(names, key=_hash)[:_KEEPERS])
 
 
 def _hash(text: str) -> int:
