Refusals by quota tell which host refused, and what it had left

Lines quota_exceeded held this host's own view only, which doesn't decide where another host grants. They name that host and what it had left; "" and 0 where it didn't answer and this host's part decided. Types only; no decision changes.

--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -95,6 +95,10 @@
     reserve: float
     # Hosts that share the quota.
     hosts: int
+    # The host that grants what is left and refused it, "" without its answer; and
+    # what it had left.
+    asked: str
+    left_there: float
 
 
 class RequestEnded(Decision, tag="request_answered"):
--- a/src/pepperstep/relay/journal.py
+++ b/src/pepperstep/relay/journal.py
@@ -16,7 +16,7 @@
 from pepperstep.ports.exchange import Exchange, RequestHead
 from pepperstep.relay.attempt import Attempt
 from pepperstep.relay.choice import Choice
-from pepperstep.relay.quotas import QuotaState
+from pepperstep.relay.quotas import Admission, QuotaState
 
 __all__ = ["RelayJournal"]
 
@@ -92,7 +92,9 @@
         )
         logging.info("relay: %s", event)
 
-    def note_over_quota(self, attempt: Attempt, cost: float, state: QuotaState) -> None:
+    def note_over_quota(
+        self, attempt: Attempt, cost: float, state: QuotaState, admission: Admission
+    ) -> None:
         """Note what a quota's refusal was decided by."""
         event = QuotaExceeded(
             request=attempt.name,
@@ -102,6 +104,8 @@
             own_left=round(state.own_level),
             reserve=round(state.reserve),
             hosts=state.hosts,
+            asked=admission.asked,
+            left_there=round(admission.left),
         )
         logging.info("relay: %s", event)
 
--- a/src/pepperstep/relay/quota_claims.py
+++ b/src/pepperstep/relay/quota_claims.py
@@ -14,7 +14,7 @@
 from pepperstep.errors import Failure
 from pepperstep.ports import PeerNetwork, Timers
 from pepperstep.proto import coordination_pb2 as pb
-from pepperstep.relay.quotas import Quotas
+from pepperstep.relay.quotas import Admission, Quotas
 
 __all__ = ["QuotaClaims"]
 
@@ -46,8 +46,8 @@
         self._resting: dict[str, float] = {}
         network.handle(pb.QuotaClaim, self._on_claim)
 
-    async def claim(self, workspace: str, cost: float) -> float | None:
-        """Return 0 if `cost` is granted, or the seconds until it's there.
+    async def claim(self, workspace: str, cost: float) -> Admission | None:
+        """Return whether `cost` is granted.
 
         None where the host that grants doesn't answer or can't tell.
         """
@@ -63,7 +63,9 @@
             logging.info("quotas: %s grants nothing: %s", keeper, failure.text)
             self._resting[keeper] = self._timers.now() + _REST_SECONDS
             return None
-        return reply.wait if reply.is_known else None
+        if not reply.is_known:
+            return None
+        return Admission(reply.wait, keeper, reply.left)
 
     def _keeper_of(self, workspace: str) -> str | None:
         def rank(keeper: str) -> int:
@@ -74,5 +76,7 @@
     async def _on_claim(
         self, message: pb.QuotaClaim, sender: str
     ) -> pb.QuotaClaimReply:
-        wait = self._quotas.grant(message.workspace, message.cost, is_own=False)
-        return pb.QuotaClaimReply(is_known=wait is not None, wait=wait or 0.0)
+        grant = self._quotas.grant(message.workspace, message.cost, is_own=False)
+        if grant is None:
+            return pb.QuotaClaimReply()
+        return pb.QuotaClaimReply(is_known=True, wait=grant.wait, left=grant.left)
--- a/src/pepperstep/relay/quotas.py
+++ b/src/pepperstep/relay/quotas.py
@@ -18,11 +18,10 @@
 
 from pepperstep.entities.routes import Quota, RouteTable, Workspace
 
-__all__ = ["Claim", "QuotaState", "QuotaTolerance", "Quotas"]
+__all__ = ["Admission", "Claim", "QuotaState", "QuotaTolerance", "Quotas"]
 
-# Asks the host that grants a workspace's quota for a cost: 0 if it's granted, the
-# seconds until it's there, or None without an answer.
-Claim = Callable[[str, float], Awaitable[float | None]]
+# Asks the host that grants a workspace's quota for a cost; None without an answer.
+Claim = Callable[[str, float], Awaitable["Admission | None"]]
 
 # Time until a host's spending is known to all others, in seconds: a question, and
 # the next answer that another host gets, each up to 0.2 s late.
@@ -82,6 +81,17 @@
     allowance: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """Whether a request may run, by what it costs."""
+
+    # Seconds until the cost is there, 0 if it was spent.
+    wait: float = 0.0
+    # The host that was asked, "" for this one's own decision, and what it had left.
+    asked: str = ""
+    left: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class QuotaState:
     """What a decision on a workspace's quota rests on, in the quota's unit."""
@@ -169,31 +179,31 @@
 
     async def admit(
         self, workspace: Workspace, cost: float, claim: Claim | None = None
-    ) -> float:
-        """Spend `cost` and return 0, or return the seconds until it's there."""
+    ) -> Admission:
+        """Spend `cost`, or return the seconds until it's there."""
         if workspace.quota is None or workspace.quota.rate <= 0:
-            return 0.0
+            return Admission()
         bucket = self._bucket(workspace.name, self._widen(workspace.quota))
         self._note_demand(bucket, cost)
         if self._credit_of(bucket) >= cost:
             bucket.credit -= cost
-            return 0.0
+            return Admission()
         if self._has_reserve(bucket, cost):
             self._spread_parts(bucket)
             self._spend(bucket, cost)
-            return 0.0
-        wait = None if claim is None else await claim(workspace.name, cost)
-        if wait is None:
-            return self._admit_of_own_part(bucket, cost)
-        if not wait:
+            return Admission()
+        admission = None if claim is None else await claim(workspace.name, cost)
+        if admission is None:
+            return Admission(self._spend_own_part(bucket, cost))
+        if not admission.wait:
             self._spend(bucket, cost)
-        return wait
+        return admission
 
-    def grant(self, workspace: str, cost: float, is_own: bool) -> float | None:
-        """Take `cost` off what all hosts may spend, and return 0.
+    def grant(self, workspace: str, cost: float, is_own: bool) -> Admission | None:
+        """Take `cost` off what all hosts may spend, if it's there.
 
-        Return the seconds until it's there else, or None where this host can't tell.
-        The cost of other hosts' requests is told by them later, and not taken again.
+        Return None where this host can't tell. The cost of other hosts' requests is
+        told by them later, and not taken again.
         """
         bucket = self._buckets.get(workspace)
         if bucket is None or not self._is_in_contact():
@@ -203,11 +213,12 @@
         kept = _KEPT_PART * burst
         missing = min(cost + kept, burst) - bucket.level
         if missing > 0:
-            return min(missing / bucket.quota.rate, _MAX_WAIT_SECONDS)
+            wait = min(missing / bucket.quota.rate, _MAX_WAIT_SECONDS)
+            return Admission(wait, left=bucket.level)
         if not is_own:
             bucket.level -= cost
             bucket.grants.append((self._now(), cost))
-        return 0.0
+        return Admission(left=bucket.level)
 
     def give_back(self, workspace: Workspace, cost: float) -> None:
         """Let the cost of an admitted request that hasn't run be spent by others.
@@ -285,7 +296,7 @@
         bucket.level -= cost
         bucket.admitted += round(cost)
 
-    def _admit_of_own_part(self, bucket: _Bucket, cost: float) -> float:
+    def _spend_own_part(self, bucket: _Bucket, cost: float) -> float:
         """Spend this host's part and return 0, or the seconds until it's there."""
         least = min(cost, self._own_burst(bucket.quota))
         if bucket.own_level < least:
--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -148,12 +148,12 @@
 
     async def _spend(self, attempt: Attempt, workspace: Workspace) -> None:
         cost = cost_of(workspace, attempt.facts)
-        wait = await self._quotas.admit(workspace, cost, self._claims.claim)
-        if wait > 0:
+        admission = await self._quotas.admit(workspace, cost, self._claims.claim)
+        if admission.wait:
             state = self._quotas.state_of(workspace.name)
-            self._journal.note_over_quota(attempt, cost, state)
+            self._journal.note_over_quota(attempt, cost, state, admission)
             text = "The workspace is over its quota."
-            raise Failure(Code.OVERLOADED, text, retry_after=wait)
+            raise Failure(Code.OVERLOADED, text, retry_after=admission.wait)
         attempt.cost = cost
 
     def _give_back(self, attempt: Attempt | None) -> None:
--- a/tests/relaying/test_quota_claims.py
+++ b/tests/relaying/test_quota_claims.py
@@ -3,6 +3,7 @@
 import random
 from contextlib import asynccontextmanager
 
+import pytest
 import trio
 
 from pepperstep.entities.routes import Quota, RouteTable, Workspace
@@ -48,21 +49,21 @@
         await keeper.know()
         granted = 0
         for number in range(30):
-            granted += not await others[number % 2].claims.claim("desk", 90)
+            granted += not (await others[number % 2].claims.claim("desk", 90)).wait
         assert 0 < granted * 90 <= QUOTA.burst
         # The granting host has taken it off for its own requests, too.
-        assert await keeper.claims.claim("desk", 90) > 0
+        assert (await keeper.claims.claim("desk", 90)).wait > 0
 
 
 async def test_refused_claims_tell_when_to_come_back(autojump_clock):
     async with open_hosts() as (keeper, others, _):
         await keeper.know()
-        while not await others[0].claims.claim("desk", 100):
+        while not (refused := await others[0].claims.claim("desk", 100)).wait:
             pass
-        wait = await others[0].claims.claim("desk", 100)
-        assert 0 < wait <= 5.0
-        await trio.sleep(wait + 0.01)
-        assert await others[0].claims.claim("desk", 100) == 0
+        assert refused.wait <= 5.0
+        assert (refused.asked, refused.left) == (keeper.name, pytest.approx(400, abs=1))
+        await trio.sleep(refused.wait + 0.01)
+        assert not (await others[0].claims.claim("desk", 100)).wait
 
 
 async def test_grants_are_taken_once_though_they_are_told_later(autojump_clock):
@@ -70,7 +71,7 @@
         await keeper.know()
         keeper.quotas.note_elsewhere("desk", 0)
         for _ in range(3):
-            assert await others[0].claims.claim("desk", 100) == 0
+            assert not (await others[0].claims.claim("desk", 100)).wait
         keeper.quotas.note_elsewhere("desk", 250)
         assert keeper.quotas.state_of("desk").level >= QUOTA.burst - 300
         keeper.quotas.note_elsewhere("desk", 400)
@@ -89,7 +90,7 @@
         assert network.sent["QuotaClaim"] == 1
         network.heal()
         await keeper.know()
-        assert await host.claims.claim("desk", 10) == 0
+        assert not (await host.claims.claim("desk", 10)).wait
 
 
 async def test_host_that_does_not_know_the_workspace_grants_nothing(autojump_clock):
--- a/tests/relaying/test_quota_windows.py
+++ b/tests/relaying/test_quota_windows.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pepperstep.entities.routes import Quota, RouteTable, Workspace
-from pepperstep.relay.quotas import Quotas, QuotaTolerance
+from pepperstep.relay.quotas import Admission, Quotas, QuotaTolerance
 
 WINDOW = 8.0
 SECONDS = 30.0
@@ -22,7 +22,7 @@
 keepers = pytest.mark.parametrize("keeper", [None, 3, 0])
 
 
-def run_now(coroutine: Coroutine[None, None, float]) -> float:
+def run_now(coroutine: Coroutine[None, None, Admission]) -> Admission:
     """Return the result of a coroutine that waits for nothing."""
     try:
         coroutine.send(None)
@@ -71,13 +71,13 @@
     def admit(self, host: int, cost: float) -> bool:
         """Ask a host to admit a request of the workspace."""
 
-        async def claim(workspace: str, cost: float) -> float | None:
+        async def claim(workspace: str, cost: float) -> Admission | None:
             if self._keeper is None or {host, self._keeper} & self.cut:
                 return None
             keeper = self.quotas[self._keeper]
             return keeper.grant(workspace, cost, is_own=host == self._keeper)
 
-        return run_now(self.quotas[host].admit(WORKSPACE, cost, claim)) == 0
+        return not run_now(self.quotas[host].admit(WORKSPACE, cost, claim)).wait
 
     def exchange(self, host: int) -> None:
         """Tell a host's spending, and let it learn the others'."""
