--- a/src/pepperstep/relay/quota_claims.py
+++ b/src/pepperstep/relay/quota_claims.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 import xxhash
 from absl import logging
@@ -55,7 +56,8 @@
         if keeper is None or self._resting.get(keeper, 0.0) > self._timers.now():
             return None
         if keeper == self._name:
-            return self._quotas.grant(workspace, cost, is_own=True)
+            own = self._quotas.grant(workspace, cost, is_own=True)
+            return None if own is None else replace(own, asked=self._name)
         message = pb.QuotaClaim(workspace=workspace, cost=cost)
         try:
             reply = await self._network.call(keeper, message, _CLAIM_SECONDS)
--- a/tests/relaying/test_quota_claims.py
+++ b/tests/relaying/test_quota_claims.py
@@ -52,7 +52,9 @@
             granted += not (await others[number % 2].claims.claim("desk", 90)).wait
         assert 0 < granted * 90 <= QUOTA.burst
         # The granting host has taken it off for its own requests, too.
-        assert (await keeper.claims.claim("desk", 90)).wait > 0
+        own = await keeper.claims.claim("desk", 90)
+        assert own.wait > 0
+        assert own.asked == keeper.name
 
 
 async def test_refused_claims_tell_when_to_come_back(autojump_clock):
