--- a/src/pepperstep/coordination/directory.py
+++ b/src/pepperstep/coordination/directory.py
@@ -2,8 +2,8 @@
 
 Control hosts know it from the entry hosts' reports, and tell it to entry hosts
 with their answers. So both can answer callers, and callers find entry hosts while
-all control hosts are down. With control hosts alone that had no power for 1.7 s, one
-in three requests of the next 4 s came late or not at all.
+all control hosts are down. It also names the keepers, the entry hosts that keep for
+all what each sees a part of only.
 """
 
 from collections.abc import Collection
--- a/src/pepperstep/coordination/order_state.py
+++ b/src/pepperstep/coordination/order_state.py
@@ -42,9 +42,8 @@
         # Time since which fewer were enough.
         self._lower_since: dict[tuple[str, bool], float] = {}
         # Whether nothing was asked for since the whole system's start. Then fewer are
-        # ordered at once, also where others may stand that aren't heard of yet: 12
-        # upstreams that stood at the start of a deployment would cost their full price
-        # for 3 s more, a seventh of a quiet minute's upstreams.
+        # ordered at once, also where others may stand that aren't heard of yet: they
+        # cost their full price meanwhile.
         self.is_unused = False
 
     @property
--- a/src/pepperstep/coordination/scaling.py
+++ b/src/pepperstep/coordination/scaling.py
@@ -16,17 +16,13 @@
 __all__ = ["Demand", "ZoneCounts", "plan_counts", "upstreams_for"]
 
 # Part of its time that an upstream reads prompts without making callers wait, by the
-# speed that entry hosts measure. In the logs of two days, by windows of 2 s, nine in
-# ten first tokens came within 0.3 to 0.9 s up to 0.6 (one window had 1.3 s), and from
-# 0.8 on within 0.7 to 2 s.
+# speed that entry hosts see.
 _MOST_READING = 0.6
-# Requests that one upstream works on at the same time. In the same logs more than 15
-# came only with too much to read; so this binds for services without prompts.
+# Requests that one upstream works on at the same time; binds for services without
+# prompts.
 _REQUESTS_EACH = 15.0
-# Reclaimable upstreams of a zone, at least, as a share of the most there may be.
-# A burst comes faster than upstreams start, and each costs a fifth of a steady
-# one. With a third of the bound, one day's burst
-# beside a hot workspace was answered in time to 30%.
+# Reclaimable upstreams of a zone, at least, as a share of the most there may be. A
+# burst comes faster than upstreams start, and each costs a fifth of a steady one.
 _LEAST_SHARE = 0.5
 # Upstreams of both kinds, at least, over all zones: one can be lost any time.
 _LEAST = 3
@@ -95,9 +91,8 @@
     sharing = sum(zone not in dry or standing[zone].reclaimable > 0 for zone in zones)
     count = min(max(_spread(needed, sharing), least), bounds.max_count)
     reclaimable = dict.fromkeys(zones, count)
-    # What steady ones make up for. They follow the mean and not the peak: with the
-    # peak, they cost a seventh to a third of all upstreams on days with two lost zones,
-    # and as many requests came in time (nine days, 86.3% against 86.4%).
+    # What steady ones make up for. They follow the mean and not the peak, which would
+    # cost more and bring no more requests in time.
     needed_long = max(math.ceil(demand.mean), _LEAST)
     lacking = _still_lacking(needed_long, standing)
     if dry:
--- a/src/pepperstep/coordination/sync.py
+++ b/src/pepperstep/coordination/sync.py
@@ -31,9 +31,8 @@
     """Times in seconds."""
 
     # Longest time that an answer waits for something new: so a change is told at
-    # once, and an idle host asks twice a second. Waiting this long in place of
-    # asking four times a second; what that saves wasn't measured apart. The
-    # directory needs each host's state this often.
+    # once, and an idle host asks twice a second. The directory needs each host's
+    # state this often.
     wait: float = 0.5
     # The same while counts have to be new, because a quota is nearly spent.
     short_wait: float = 0.2
@@ -46,8 +45,7 @@
     first_backoff: float = 0.15
     backoff: float = 1.0
     # Time after its start for which a host asks as often as at first: where all
-    # have lost power, control hosts start half a second after entry hosts, and
-    # with doubled pauses entry hosts had their routes 0.5 to 0.8 s later than that.
+    # have lost power, control hosts start half a second after entry hosts.
     eager: float = 3.0
     # Time without an answer after which a control host counts as out of reach.
     reach: float = 2.0
@@ -150,10 +148,8 @@
         """The Unix time by the middle of what hosts say.
 
         Others' clocks are kept against this host's monotonic time. So a jump of its
-        own clock is one vote at once, and no vote of the others'. Against its own
-        Unix time, a control host whose clock had jumped back by an hour took the next
-        window of the accounting for over at the jump's end: it reported 49 of 309
-        requests too few.
+        own clock is one vote at once, and no vote of the others', and no window of
+        the accounting is taken for over before it is.
         """
         now = self._timers.now()
         told = (source.wall_offset for source in self._sources.values())
--- a/src/pepperstep/relay/prompts.py
+++ b/src/pepperstep/relay/prompts.py
@@ -20,18 +20,15 @@
 # Time for which an engine is believed to keep a part, in seconds: the bound up
 # to which reading a part again is counted as waste.
 _KEPT_SECONDS = 10.0
-# Tokens that an engine reads in a second, before any was measured: what both
-# deployments' engines are described with.
+# Tokens that an engine reads in a second, before any first token has told.
 _TOKENS_PER_SECOND = 36_000.0
 # Prompts under so many tokens tell more of other delays than of reading.
 _MEASURED_TOKENS = 2_000
-# Time to the first token besides reading, in seconds, as described.
+# Time to the first token besides reading, in seconds.
 _OVERHEAD_SECONDS = 0.02
-# Part of the prompts that are read slower than the measured speed. Most have waited
-# behind others, and one in ten to one in five was kept by the engine without this
-# host's knowledge and seems to be read up to ten times as fast. In the logs of three
-# days this part lies at 29 to 30 tokens a millisecond, where engines read 36 with
-# nothing else to do.
+# Part of the prompts that are read slower than the speed that is expected. Most have
+# waited behind others, and some were kept by the engine without this host's knowledge
+# and seem to be read many times as fast.
 _SLOWER_PART = 0.8
 # Change with each prompt, as a share of the speed.
 _STEP = 0.05
--- a/src/pepperstep/relay/quotas.py
+++ b/src/pepperstep/relay/quotas.py
@@ -31,27 +31,21 @@
 # Weight of each request in the mean cost.
 _COST_WEIGHT = 0.1
 # Part of one request that a host's demand must exceed before it's taken for the
-# demand at all hosts: a single one of many hosts' requests tells nothing. With 64
-# hosts and 0.8 of the quota asked for, 83% of it was admitted, and 78% without (model,
-# 100,000 tokens a second); with a whole request and a reserve half as large again 87%,
-# but then a workspace at four times its quota got 2% more than is allowed.
+# demand at all hosts: a single one of many hosts' requests tells nothing.
 _CHANCE_PART = 0.5
 # Part of the burst that all hosts may spend at once of their own parts.
 _OWN_PART = 0.5
 # What a host's part of the rate grows to while the whole burst is left; with half of
-# it, the part is equal. In a model with seven hosts and up to eight times the demand,
-# three hosts that were gone cost 35% of the quota without growth, and 8% with it;
-# with growth to 3.5, two hosts without contact broke the tolerance.
+# it, the part is equal. So the parts of hosts that are gone are given out, and two
+# hosts without contact still keep to the tolerance.
 _MOST_GROWTH = 2.0
 # Part of its rate that a host without contact keeps to: the others soon spend it.
 _ALONE_PART = 0.25
 # Part of that which a host may spend when it starts. Hosts that all start at once
-# give out a quarter of a burst more. With seven restarts in 12 s under eight times
-# the demand, the worst window had 94% of what is allowed, and 98% with all of it.
+# give out a quarter of a burst more.
 _START_PART = 0.5
-# Time in which no host admits anything when all start anew, in seconds: from the end
-# of their earlier lives to the first answer of a control host, 1.26 s at least as
-# traced in three runs of two deployments.
+# Time in which no host admits anything when all start anew, in seconds, at least: from
+# the end of their earlier lives to the first answer of a control host.
 _RESTART_SECONDS = 1.0
 # Part of the burst below which a workspace's counts have to be new on all hosts.
 _PRESSED_PART = 0.9
