Connections that nobody uses are closed; keepers are greeted once they stay the same

Cause: while hosts start together, a directory names other keepers with each answer, as the first sixteen by hash of the few that are known.

Change: keepers are greeted once four looks in 2 s have found the same ones. A peer connection without a call for 20 s is closed, as after any change of whom a host talks to.

--- a/src/pepperstep/adapters/grpc_peers.py
+++ b/src/pepperstep/adapters/grpc_peers.py
@@ -23,6 +23,10 @@
 # Each stream that another host opens keeps one thread; threads start as needed.
 _MAX_STREAMS = 512
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+# Time without a call after which the connection to a peer is closed, in seconds, and
+# the time between looks for such: each has threads at both ends.
+_IDLE_SECONDS = 20.0
+_LOOK_SECONDS = 5.0
 _OPTIONS = [
     ("grpc.max_receive_message_length", _MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", _MAX_MESSAGE_BYTES),
@@ -81,6 +85,8 @@
         self._token: trio.lowlevel.TrioToken | None = None
         self._nursery: trio.Nursery | None = None
         self._is_serving = False
+        # When idle connections were looked for.
+        self._looked_at = 0.0
 
     def set_address(self, peer: str, address: str) -> None:
         """Say where `peer` listens."""
@@ -100,6 +106,7 @@
 
     async def call(self, peer: str, message: Message, timeout: float) -> Message:
         """Return the answer of `peer`, or raise `Failure`."""
+        self._close_idle()
         stream = self._stream_to(peer)
         try:
             answer = await stream.call(codec.encode(message, self._name), timeout)
@@ -114,8 +121,19 @@
         if self._streams.get(peer) is not stream:
             return
         logging.info("peers: %s is silent; its connection is closed.", peer)
-        del self._streams[peer]
-        stream.close()
+        self._close(peer)
+
+    def _close_idle(self) -> None:
+        now = trio.current_time()
+        if now - self._looked_at < _LOOK_SECONDS:
+            return
+        self._looked_at = now
+        for peer, stream in list(self._streams.items()):
+            if stream.is_idle(_IDLE_SECONDS):
+                self._close(peer)
+
+    def _close(self, peer: str) -> None:
+        self._streams.pop(peer).close()
         channel = self._channels.pop(peer, None)
         if channel is not None:
             channel.close()
--- a/src/pepperstep/adapters/peer_streams.py
+++ b/src/pepperstep/adapters/peer_streams.py
@@ -78,6 +78,7 @@
         self.is_broken = False
         # Time of the last answer, or of the first call since then.
         self._heard_at = trio.current_time()
+        self._called_at = self._heard_at
         self._call = method(self._frames.batches())
         threading.Thread(target=self._read, name=f"to-{peer}", daemon=True).start()
 
@@ -88,6 +89,11 @@
             return False
         return trio.current_time() - self._heard_at > _SILENCE_SECONDS
 
+    def is_idle(self, seconds: float) -> bool:
+        """Whether no call was made for so long, and none is under way."""
+        has_pending = bool(self._pending)
+        return not has_pending and trio.current_time() - self._called_at > seconds
+
     async def call(self, data: bytes, timeout: float) -> bytes:
         """Return the peer's answer.
 
@@ -96,6 +102,7 @@
         """
         number = next(self._numbers)
         pending = _Pending()
+        self._called_at = trio.current_time()
         if not self._pending:
             self._heard_at = trio.current_time()
         self._pending[number] = pending
--- a/src/pepperstep/relay/shared_load.py
+++ b/src/pepperstep/relay/shared_load.py
@@ -44,8 +44,10 @@
 # two new ones: hosts that start together connect one after the other.
 _GREET_SECONDS = 1.0
 _GREET_PAUSE_SECONDS = 0.02
-# Between looks for new keepers, in seconds.
+# Between looks for new keepers, in seconds, and looks that have to find the same ones
+# before they are greeted: while hosts start together, others are named each time.
 _LOOK_SECONDS = 0.5
+_SAME_LOOKS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,13 +147,19 @@
 
     async def _greet_keepers(self) -> None:
         """Connect to keepers before requests wait for their answers."""
-        known: set[str] = set()
+        greeted: set[str] = set()
+        latest: set[str] = set()
+        same_looks = 0
         async for _ in self._timers.subscribe(_LOOK_SECONDS):
             keepers = {keeper for keeper in self._keepers() if keeper != self._name}
-            for keeper in sorted(keepers - known, key=self._rank):
+            same_looks = same_looks + 1 if keepers == latest else 1
+            latest = keepers
+            if same_looks < _SAME_LOOKS:
+                continue
+            for keeper in sorted(keepers - greeted, key=self._rank):
                 await self._greet(keeper)
                 await self._timers.sleep(_GREET_PAUSE_SECONDS)
-            known = keepers
+            greeted = keepers
 
     async def _greet(self, keeper: str) -> None:
         try:
--- a/tests/adapters/test_grpc_peers.py
+++ b/tests/adapters/test_grpc_peers.py
@@ -1,11 +1,13 @@
 """Peer network over real sockets of this machine."""
 
-from contextlib import asynccontextmanager
+import threading
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import pytest
 import trio
 
 from demo.launcher import free_ports
+from pepperstep.adapters import grpc_peers
 from pepperstep.adapters.grpc_peers import GrpcPeers
 from pepperstep.errors import Code, Failure
 from pepperstep.proto.journal_pb2 import CancelDone, CancelRequest
@@ -124,3 +126,30 @@
 async def _copy(source: trio.SocketStream, target: trio.SocketStream) -> None:
     async for data in source:
         await target.send_all(data)
+
+
+async def test_connections_without_calls_are_closed(monkeypatch):
+    """Each has threads at both ends, and a host may call many others one day."""
+    monkeypatch.setattr(grpc_peers, "_IDLE_SECONDS", 0.2)
+    monkeypatch.setattr(grpc_peers, "_LOOK_SECONDS", 0.0)
+    one, *others = free_ports(6)
+    async with AsyncExitStack() as stack:
+        first = await stack.enter_async_context(serving("one", one))
+        for number, port in enumerate(others):
+            peer = await stack.enter_async_context(serving(f"peer{number}", port))
+            peer.handle(CancelRequest, answer)
+            first.set_address(f"peer{number}", f"127.0.0.1:{port}")
+            await first.call(f"peer{number}", CancelRequest(), LONG)
+        assert len(reading_threads()) == 5
+        await trio.sleep(0.3)
+        await first.call("peer0", CancelRequest(), LONG)
+        with trio.fail_after(LONG):
+            while reading_threads() != ["to-peer0"]:
+                await trio.sleep(0.05)
+        # They are opened again when they are needed.
+        await first.call("peer3", CancelRequest(), LONG)
+
+
+def reading_threads() -> list[str]:
+    names = (thread.name for thread in threading.enumerate())
+    return sorted(name for name in names if name.startswith("to-peer"))
