Hosts call keepers by single calls, which keep no threads

Cause: a stream to each keeper keeps two threads at both ends. With 70 entry hosts a keeper had 206 threads and other hosts 71 to 77, 9,700 in all; with 191 hosts that's more than the machine gives while all start again.

Change: single gRPC calls (`PeerNetwork.call_single`) for work notices and claims of quotas. No thread waits between calls. Three calls in a row without an answer close the channel, as a silent stream does.

Ruled out: fewer keepers. Eight would have twice the calls each.

--- a/src/pepperstep/adapters/grpc_peers.py
+++ b/src/pepperstep/adapters/grpc_peers.py
@@ -10,6 +10,7 @@
 from absl import logging
 from google.protobuf.message import Message
 
+from pepperstep.adapters.peer_calls import AnswerSlot, PeerCalls
 from pepperstep.adapters.peer_streams import FrameQueue, PeerStream
 from pepperstep.errors import Code, Failure
 from pepperstep.ports.peers import Handler
@@ -20,6 +21,7 @@
 
 _SERVICE = "pepperstep.Peer"
 _METHOD = "Exchange"
+_SINGLE_METHOD = "Call"
 # Each stream that another host opens keeps one thread; threads start as needed.
 _MAX_STREAMS = 512
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
@@ -81,6 +83,7 @@
         self._addresses: dict[str, str] = {}
         self._channels: dict[str, grpc.Channel] = {}
         self._streams: dict[str, PeerStream] = {}
+        self._calls: dict[str, PeerCalls] = {}
         self._handlers: dict[type, Handler] = {}
         self._token: trio.lowlevel.TrioToken | None = None
         self._nursery: trio.Nursery | None = None
@@ -93,12 +96,7 @@
         if self._addresses.get(peer) == address:
             return
         self._addresses[peer] = address
-        stream = self._streams.pop(peer, None)
-        if stream is not None:
-            stream.close()
-        channel = self._channels.pop(peer, None)
-        if channel is not None:
-            channel.close()
+        self._close(peer)
 
     def handle(self, message_type: type[Message], handler: Handler) -> None:
         """Register the one handler for `message_type`."""
@@ -116,6 +114,19 @@
             raise
         return codec.decode(answer)[0]
 
+    async def call_single(self, peer: str, message: Message, timeout: float) -> Message:
+        """Return the answer of `peer`, or raise `Failure`."""
+        self._close_idle()
+        calls = self._calls_to(peer)
+        try:
+            answer = await calls.call(codec.encode(message, self._name), timeout)
+        except Failure:
+            if calls.is_silent and self._calls.get(peer) is calls:
+                logging.info("peers: %s is silent; its connection is closed.", peer)
+                self._close(peer)
+            raise
+        return codec.decode(answer)[0]
+
     def _drop(self, peer: str, stream: PeerStream) -> None:
         """Close a stream with its connection, so that the next call opens new ones."""
         if self._streams.get(peer) is not stream:
@@ -128,12 +139,16 @@
         if now - self._looked_at < _LOOK_SECONDS:
             return
         self._looked_at = now
-        for peer, stream in list(self._streams.items()):
-            if stream.is_idle(_IDLE_SECONDS):
+        for peer in list(self._channels):
+            uses = (self._streams.get(peer), self._calls.get(peer))
+            if all(each is None or each.is_idle(_IDLE_SECONDS) for each in uses):
                 self._close(peer)
 
     def _close(self, peer: str) -> None:
-        self._streams.pop(peer).close()
+        self._calls.pop(peer, None)
+        stream = self._streams.pop(peer, None)
+        if stream is not None:
+            stream.close()
         channel = self._channels.pop(peer, None)
         if channel is not None:
             channel.close()
@@ -167,8 +182,11 @@
         server = grpc.server(
             futures.ThreadPoolExecutor(_MAX_STREAMS, "peer"), options=_OPTIONS
         )
-        method = grpc.stream_stream_rpc_method_handler(self._serve_stream)
-        service = grpc.method_handlers_generic_handler(_SERVICE, {_METHOD: method})
+        methods = {
+            _METHOD: grpc.stream_stream_rpc_method_handler(self._serve_stream),
+            _SINGLE_METHOD: grpc.unary_unary_rpc_method_handler(self._serve_single),
+        }
+        service = grpc.method_handlers_generic_handler(_SERVICE, methods)
         server.add_generic_rpc_handlers((service,))
         return server
 
@@ -185,12 +203,22 @@
         stream = self._streams.get(peer)
         if stream is not None and not stream.is_broken:
             return stream
-        if peer not in self._channels:
-            self._channels[peer] = self._open_channel(self._address_of(peer))
-        method = self._channels[peer].stream_stream(f"/{_SERVICE}/{_METHOD}")
+        method = self._channel_to(peer).stream_stream(f"/{_SERVICE}/{_METHOD}")
         self._streams[peer] = PeerStream(peer, method)
         return self._streams[peer]
 
+    def _calls_to(self, peer: str) -> PeerCalls:
+        if peer not in self._calls:
+            channel = self._channel_to(peer)
+            method = channel.unary_unary(f"/{_SERVICE}/{_SINGLE_METHOD}")
+            self._calls[peer] = PeerCalls(peer, method)
+        return self._calls[peer]
+
+    def _channel_to(self, peer: str) -> grpc.Channel:
+        if peer not in self._channels:
+            self._channels[peer] = self._open_channel(self._address_of(peer))
+        return self._channels[peer]
+
     def _address_of(self, peer: str) -> str:
         """Return where a peer listens; one that was never told is its own address."""
         address = self._addresses.get(peer, peer)
@@ -215,6 +243,22 @@
         ).start()
         return answers.batches()
 
+    def _serve_single(self, data: bytes, context: grpc.ServicerContext) -> bytes:
+        """Answer one call, in a thread of the server."""
+        slot = AnswerSlot()
+        self._token.run_sync_soon(self._start_single, data, slot)
+        answer = slot.wait()
+        if answer is None:
+            context.abort(grpc.StatusCode.UNAVAILABLE, "no answer")
+        return answer
+
+    def _start_single(self, data: bytes, slot: AnswerSlot) -> None:
+        if self._is_serving:
+            self._nursery.start_soon(self._answer_single, data, slot)
+
+    async def _answer_single(self, data: bytes, slot: AnswerSlot) -> None:
+        slot.put(await self._handle_message(data))
+
     def _read_requests(self, requests: Iterator[bytes], answers: FrameQueue) -> None:
         try:
             for data in requests:
--- a/src/pepperstep/fakes/network.py
+++ b/src/pepperstep/fakes/network.py
@@ -120,6 +120,10 @@
             raise Failure(Code.PEER_UNREACHABLE, f"{peer} doesn't answer.")
         return codec.decode(answer)[0]
 
+    async def call_single(self, peer: str, message: Message, timeout: float) -> Message:
+        """Return the answer of `peer`, or raise `Failure`."""
+        return await self.call(peer, message, timeout)
+
     async def receive(self, data: bytes) -> bytes:
         """Hand an arrived message to its handler and return the answer."""
         await self._timers.wait_running()
--- a/src/pepperstep/ports/peers.py
+++ b/src/pepperstep/ports/peers.py
@@ -33,3 +33,10 @@
         connection error or for an unknown peer, and with the handler's code
         if the handler failed.
         """
+
+    async def call_single(self, peer: str, message: Message, timeout: float) -> Message:
+        """Return the answer of `peer`, as `call` does.
+
+        For quick answers of many peers that are called now and then: it costs more
+        for each call, and nothing between calls.
+        """
--- a/src/pepperstep/relay/quota_claims.py
+++ b/src/pepperstep/relay/quota_claims.py
@@ -60,7 +60,7 @@
             return None if own is None else replace(own, asked=self._name)
         message = pb.QuotaClaim(workspace=workspace, cost=cost)
         try:
-            reply = await self._network.call(keeper, message, _CLAIM_SECONDS)
+            reply = await self._network.call_single(keeper, message, _CLAIM_SECONDS)
         except Failure as failure:
             logging.info("quotas: %s grants nothing: %s", keeper, failure.text)
             self._resting[keeper] = self._timers.now() + _REST_SECONDS
--- a/src/pepperstep/relay/shared_load.py
+++ b/src/pepperstep/relay/shared_load.py
@@ -163,7 +163,7 @@
 
     async def _greet(self, keeper: str) -> None:
         try:
-            await self._network.call(keeper, pb.WorkNotice(), _GREET_SECONDS)
+            await self._network.call_single(keeper, pb.WorkNotice(), _GREET_SECONDS)
         except Failure as failure:
             self._rest(keeper, failure)
 
@@ -197,7 +197,7 @@
         if keeper == self._name:
             return self._keep(notice, self._name)
         try:
-            reply = await self._network.call(keeper, notice, timeout)
+            reply = await self._network.call_single(keeper, notice, timeout)
         except Failure as failure:
             self._rest(keeper, failure)
             return None
--- a/tests/adapters/test_grpc_peers.py
+++ b/tests/adapters/test_grpc_peers.py
@@ -153,3 +153,61 @@
 def reading_threads() -> list[str]:
     names = (thread.name for thread in threading.enumerate())
     return sorted(name for name in names if name.startswith("to-peer"))
+
+
+@pytest.mark.parametrize(
+    ("request_id", "timeout", "code"),
+    [
+        ("refuse", LONG, Code.FENCED),
+        ("break", LONG, Code.INTERNAL),
+        ("wait", 0.05, Code.PEER_UNREACHABLE),
+    ],
+)
+async def test_failures_of_single_calls_have_codes(request_id, timeout, code):
+    one, two = free_ports(2)
+    async with serving("one", one) as first, serving("two", two) as second:
+        second.handle(CancelRequest, answer)
+        first.set_address("two", f"127.0.0.1:{two}")
+        reply = await first.call_single("two", CancelRequest(request_id="one"), LONG)
+        assert reply.is_found
+        with pytest.raises(Failure) as raised:
+            request = CancelRequest(request_id=request_id)
+            await first.call_single("two", request, timeout)
+    assert raised.value.code == code
+
+
+async def test_single_calls_leave_no_threads_behind():
+    """With a stream to each of many peers, two threads waited at both ends."""
+    one, *others = free_ports(9)
+    async with AsyncExitStack() as stack:
+        first = await stack.enter_async_context(serving("one", one))
+        before = threading.active_count()
+        for number, port in enumerate(others):
+            peer = await stack.enter_async_context(serving(f"peer{number}", port))
+            peer.handle(CancelRequest, answer)
+            first.set_address(f"peer{number}", f"127.0.0.1:{port}")
+            for _ in range(5):
+                await first.call_single(f"peer{number}", CancelRequest(), LONG)
+        with trio.fail_after(LONG):
+            # A server keeps the thread that has answered, and one that serves.
+            while threading.active_count() > before + 2 * len(others) + 2:
+                await trio.sleep(0.05)
+
+
+async def test_single_calls_reach_a_peer_that_comes_back():
+    one, two = free_ports(2)
+    async with serving("one", one) as first:
+        first.set_address("two", f"127.0.0.1:{two}")
+        for _ in range(4):
+            with pytest.raises(Failure):
+                await first.call_single("two", CancelRequest(), 0.2)
+        async with serving("two", two) as second:
+            second.handle(CancelRequest, answer)
+            with trio.fail_after(5.0):
+                while True:
+                    try:
+                        await first.call_single("two", CancelRequest(), 0.5)
+                    except Failure:
+                        await trio.sleep(0.05)
+                    else:
+                        break
