Finding and sparing keepers stands once

Work notices and claims of quotas each found their keeper by hashes and left a silent one alone, with two sets of rests. `relay/keepers.py` has both; what one learns of a silent keeper the other knows, too.

--- a/measure/ablation.py
+++ b/measure/ablation.py
@@ -45,8 +45,8 @@
     Ablation(
         "shared load",
         "src/pepperstep/relay/shared_load.py",
-        "        if keeper is None or self._is_resting",
-        "        if True or self._is_resting",
+        "        if keeper is None:\n",
+        "        if True:\n",
     ),
     Ablation(
         "directory at entry hosts",
--- a/src/pepperstep/relay/shared_load.py
+++ b/src/pepperstep/relay/shared_load.py
@@ -6,21 +6,20 @@
 the keepers of the few upstreams that it weighs. Messages grow with a host's own
 requests, whatever the number of hosts.
 
-All hosts find the same keeper by hashes. What a keeper that is lost has known is told
-to the next one by the hosts' following notices.
+What a keeper that is lost has known is told to the next one by the hosts' following
+notices.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import trio
 import xxhash
-from absl import logging
 
 from pepperstep.coordination import UpstreamKey
-from pepperstep.errors import Failure
 from pepperstep.ports import PeerNetwork, Timers
 from pepperstep.proto import coordination_pb2 as pb
+from pepperstep.relay.keepers import Keepers
 
 __all__ = ["TOLD_TOKENS", "SharedLoad", "UpstreamWork"]
 
@@ -36,10 +35,6 @@
 # Time after which what a notice tells is taken as over, in seconds: long prompts take
 # a second and more with nothing else to do.
 _VALID_SECONDS = 1.5
-# Time for which a keeper that didn't answer is told and asked nothing, in seconds: the
-# first time, as it may just be connecting, and until it answers again.
-_FIRST_REST_SECONDS = 0.25
-_REST_SECONDS = 2.0
 # Time that a new keeper has to answer a first notice, in seconds, and the pause between
 # two new ones: hosts that start together connect one after the other.
 _GREET_SECONDS = 1.0
@@ -75,23 +70,19 @@
 class SharedLoad:
     """Work of all hosts, as asked for at keepers and kept for others.
 
-    `own` gives this host's work at an upstream, `keepers` the entry hosts that keep
-    others' work, the same ones on all hosts.
+    `own` gives this host's work at an upstream.
     """
 
     def __init__(
         self,
-        name: str,
+        keepers: Keepers,
         network: PeerNetwork,
         timers: Timers,
         own: Callable[[UpstreamKey], UpstreamWork],
-        keepers: Callable[[], Sequence[str]],
     ):
-        self._name = name
-        self._network = network
+        self._keepers = keepers
         self._timers = timers
         self._own = own
-        self._keepers = keepers
         # What hosts have told this one, by upstream and host.
         self._kept: dict[UpstreamKey, dict[str, _Told]] = {}
         # Unread tokens that this host has told last.
@@ -99,8 +90,6 @@
         self._changed: set[UpstreamKey] = set()
         self._has_changed = trio.Event()
         self._number = 0
-        # Times until which keepers rest that haven't answered since.
-        self._resting: dict[str, float] = {}
         network.handle(pb.WorkNotice, self._on_notice)
 
     async def ask(
@@ -147,41 +136,24 @@
 
     async def _greet_keepers(self) -> None:
         """Connect to keepers before requests wait for their answers."""
-        greeted: set[str] = set()
-        latest: set[str] = set()
+        greeted: frozenset[str] = frozenset()
+        latest: frozenset[str] = frozenset()
         same_looks = 0
         async for _ in self._timers.subscribe(_LOOK_SECONDS):
-            keepers = {keeper for keeper in self._keepers() if keeper != self._name}
+            keepers = self._keepers.others()
             same_looks = same_looks + 1 if keepers == latest else 1
             latest = keepers
             if same_looks < _SAME_LOOKS:
                 continue
-            for keeper in sorted(keepers - greeted, key=self._rank):
-                await self._greet(keeper)
+            for keeper in sorted(keepers - greeted, key=self._order):
+                await self._keepers.ask(keeper, pb.WorkNotice(), _GREET_SECONDS)
                 await self._timers.sleep(_GREET_PAUSE_SECONDS)
             greeted = keepers
 
-    async def _greet(self, keeper: str) -> None:
-        try:
-            await self._network.call_single(keeper, pb.WorkNotice(), _GREET_SECONDS)
-        except Failure as failure:
-            self._rest(keeper, failure)
-
-    def _rank(self, keeper: str) -> int:
+    def _order(self, keeper: str) -> int:
         """Return a number that orders keepers otherwise on each host."""
-        return xxhash.xxh64_intdigest(f"{self._name}>{keeper}".encode())
-
-    def _rest(self, keeper: str, failure: Failure) -> None:
-        if self._is_resting(keeper):
-            return
-        seconds = _REST_SECONDS if keeper in self._resting else _FIRST_REST_SECONDS
-        logging.info(
-            "load: %s rests as a keeper for %.2f s: %s", keeper, seconds, failure.text
-        )
-        self._resting[keeper] = self._timers.now() + seconds
-
-    def _is_resting(self, keeper: str) -> bool:
-        return self._resting.get(keeper, 0.0) > self._timers.now()
+        text = f"{self._keepers.own_name}>{keeper}"
+        return xxhash.xxh64_intdigest(text.encode())
 
     async def _exchange(
         self, upstream: UpstreamKey, timeout: float
@@ -190,19 +162,14 @@
 
         None if its keeper doesn't answer, or didn't a moment ago.
         """
-        keeper = self._keeper_of(upstream)
-        if keeper is None or self._is_resting(keeper):
+        keeper = self._keepers.keeper_of(upstream[0])
+        if keeper is None:
             return None
         notice = self._make_notice(upstream)
-        if keeper == self._name:
-            return self._keep(notice, self._name)
-        try:
-            reply = await self._network.call_single(keeper, notice, timeout)
-        except Failure as failure:
-            self._rest(keeper, failure)
-            return None
-        self._resting.pop(keeper, None)
-        return UpstreamWork(reply.unread, reply.requests)
+        if keeper == self._keepers.own_name:
+            return self._keep(notice, keeper)
+        reply = await self._keepers.ask(keeper, notice, timeout)
+        return None if reply is None else UpstreamWork(reply.unread, reply.requests)
 
     def _make_notice(self, upstream: UpstreamKey) -> pb.WorkNotice:
         own = self._own(upstream)
@@ -217,12 +184,6 @@
             number=self._number,
         )
 
-    def _keeper_of(self, upstream: UpstreamKey) -> str | None:
-        def rank(keeper: str) -> int:
-            return xxhash.xxh64_intdigest(f"{keeper}/{upstream[0]}".encode())
-
-        return min(self._keepers(), key=rank, default=None)
-
     async def _on_notice(
         self, message: pb.WorkNotice, sender: str
     ) -> pb.WorkNoticeReply:
--- a/src/pepperstep/relay_hosts.py
+++ b/src/pepperstep/relay_hosts.py
@@ -47,6 +47,7 @@
 from pepperstep.relay.attempt import Attempts
 from pepperstep.relay.budget import BudgetSettings
 from pepperstep.relay.journal import RelayJournal
+from pepperstep.relay.keepers import Keepers
 from pepperstep.relay.prompts import PromptMemory
 from pepperstep.relay.quota_claims import QuotaClaims
 from pepperstep.relay.quotas import QuotaTolerance
@@ -118,21 +119,20 @@
         self._quotas = Quotas(
             self._host_count, now, tolerance, self._is_in_contact, ports.rng.random()
         )
-        claims = QuotaClaims(
+        keepers = Keepers(
             settings.peer_address,
             ports.peers,
             ports.timers,
-            self._quotas,
-            self._keepers,
+            lambda: self.sync.directory.keepers,
         )
+        claims = QuotaClaims(keepers, ports.peers, self._quotas)
         self._counts = RunCounts(bounds.usage_window, self._true_time)
         prompts = PromptMemory(now)
         self._shared_load = SharedLoad(
-            settings.peer_address,
+            keepers,
             ports.peers,
             ports.timers,
             lambda upstream: self._chooser.work_at(upstream),
-            self._keepers,
         )
         self._chooser = Chooser(
             self.book,
@@ -241,9 +241,6 @@
     def _host_count(self) -> int:
         return self.sync.entry_count
 
-    def _keepers(self) -> tuple[str, ...]:
-        return self.sync.directory.keepers
-
     def _true_time(self) -> float:
         return self.sync.true_time
 
--- a/tests/relaying/test_quota_claims.py
+++ b/tests/relaying/test_quota_claims.py
@@ -9,6 +9,7 @@
 from pepperstep.entities.routes import Quota, RouteTable, Workspace
 from pepperstep.fakes import FakeNetwork, FakePeers, FakeTimers
 from pepperstep.relay import Quotas
+from pepperstep.relay.keepers import Keepers
 from pepperstep.relay.quota_claims import QuotaClaims
 
 QUOTA = Quota(rate=100, burst=1_000, counts_tokens=True, plain_tokens=1)
@@ -24,7 +25,8 @@
         peers = FakePeers(name, network, timers, nursery)
         self.name = name
         self.quotas = Quotas(lambda: len(NAMES), trio.current_time)
-        self.claims = QuotaClaims(name, peers, timers, self.quotas, lambda: NAMES)
+        self.keepers = Keepers(name, peers, timers, lambda: NAMES)
+        self.claims = QuotaClaims(self.keepers, peers, self.quotas)
 
     async def know(self) -> None:
         """Let the host know the workspace until nothing of its quota is spent."""
@@ -38,7 +40,7 @@
     network = FakeNetwork(random.Random(0))
     async with trio.open_nursery() as nursery:
         hosts = {name: Host(name, network, nursery) for name in NAMES}
-        keeper = hosts["e1"].claims._keeper_of("desk")
+        keeper = hosts["e1"].keepers.keeper_of("desk")
         others = [host for name, host in hosts.items() if name != keeper]
         yield hosts[keeper], others, network
         nursery.cancel_scope.cancel()
--- a/tests/relaying/test_shared_load.py
+++ b/tests/relaying/test_shared_load.py
@@ -14,6 +14,7 @@
 from pepperstep.ports.relaying import PromptPart, RequestFacts
 from pepperstep.proto import coordination_pb2 as pb
 from pepperstep.relay import Chooser, Pools
+from pepperstep.relay.keepers import Keepers
 from pepperstep.relay.prompts import PromptMemory
 from pepperstep.relay.shared_load import TOLD_TOKENS, SharedLoad
 from tests.relaying.world import open_world, request
@@ -39,12 +40,9 @@
         for upstream in UPSTREAMS:
             self.book.note(Announcement(upstream, "model", f"{upstream}:80", "z1"))
         prompts = PromptMemory(trio.current_time)
+        self.keepers = Keepers(name, peers, timers, lambda: names[:KEEPERS])
         self.load = SharedLoad(
-            name,
-            peers,
-            timers,
-            lambda key: self.chooser.work_at(key),
-            lambda: names[:KEEPERS],
+            self.keepers, peers, timers, lambda key: self.chooser.work_at(key)
         )
         pools = Pools(FakeConnector(), lambda: len(names), trio.current_time)
         self.chooser = Chooser(
@@ -188,7 +186,7 @@
 ):
     async with open_hosts(3) as (hosts, network):
         host = hosts[1]
-        keeper = host.load._keeper_of((UPSTREAMS[0], 0))
+        keeper = host.keepers.keeper_of(UPSTREAMS[0])
         assert keeper != host.name
         network.isolate(keeper)
         begun = trio.current_time()
@@ -226,7 +224,7 @@
     async with open_hosts(3) as (hosts, network):
         network.min_delay = network.max_delay = 0.01
         host = hosts[1]
-        assert host.load._keeper_of((UPSTREAMS[0], 0)) != host.name
+        assert host.keepers.keeper_of(UPSTREAMS[0]) != host.name
         async with trio.open_nursery() as nursery:
             chosen = []
 
@@ -248,7 +246,7 @@
         one, two, three = hosts
         choice = await one.send(LARGE)
         await trio.sleep(0.05)
-        keeper = one.load._keeper_of(choice.upstream.key)
+        keeper = one.keepers.keeper_of(choice.upstream.id)
         one.names.remove(keeper)
         one.chooser.note_read(choice, 0.2)
         again = await one.send(LARGE)
