--- a/measure/placement.py
+++ b/measure/placement.py
@@ -9,15 +9,18 @@
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
 from functools import partial
+from typing import TypeVar
 
 from measure.model_engine import ModelEngine, ModelRun, Scheduler
 from pepperstep.coordination import Announcement, UpstreamBook, UpstreamKey
 from pepperstep.entities.routes import Service
 from pepperstep.ports.relaying import PromptPart, RequestFacts
-from pepperstep.relay.choice import Choice, Chooser
+from pepperstep.relay.choice import Chooser
 from pepperstep.relay.shared_load import UpstreamWork
 
-__all__ = ["PlacementResult", "PlacementSettings", "main", "play_placement"]
+__all__ = ["PlacementResult", "PlacementSettings", "main", "play_placement", "run_now"]
+
+T = TypeVar("T")
 
 _SERVICE = Service("model")
 # Requests of the first and the last seconds aren't counted: caches fill, and answers
@@ -128,7 +131,7 @@
         self._kept.setdefault(upstream, {})[id(self)] = work
 
 
-def _run_now(coroutine: Coroutine[None, None, Choice]) -> Choice:
+def run_now(coroutine: Coroutine[None, None, T]) -> T:
     """Return the result of a coroutine that waits for nothing."""
     try:
         coroutine.send(None)
@@ -200,7 +203,7 @@
         self._send(kind, facts, rng.choice(self._choosers))
 
     def _send(self, kind: PromptKind, facts: RequestFacts, chooser: Chooser) -> None:
-        choice = _run_now(chooser.choose(_SERVICE, facts, ()))
+        choice = run_now(chooser.choose(_SERVICE, facts, ()))
         chooser.begin(choice, facts)
         begun = self._clock.now
         end_of_count = self._settings.seconds - _TAIL_SECONDS
--- a/tests/adapters/test_grpc_peers.py
+++ b/tests/adapters/test_grpc_peers.py
@@ -42,13 +42,17 @@
         ("wait", 0.05, Code.PEER_UNREACHABLE),
     ],
 )
-async def test_failures_have_codes(request_id, timeout, code):
+@pytest.mark.parametrize("is_single", [False, True])
+async def test_failures_have_codes(request_id, timeout, code, is_single):
     one, two = free_ports(2)
     async with serving("one", one) as first, serving("two", two) as second:
         second.handle(CancelRequest, answer)
         first.set_address("two", f"127.0.0.1:{two}")
+        call = first.call_single if is_single else first.call
+        reply = await call("two", CancelRequest(request_id="one"), LONG)
+        assert reply.is_found
         with pytest.raises(Failure) as raised:
-            await first.call("two", CancelRequest(request_id=request_id), timeout)
+            await call("two", CancelRequest(request_id=request_id), timeout)
     assert raised.value.code == code
 
 
@@ -155,27 +159,6 @@
     return sorted(name for name in names if name.startswith("to-peer"))
 
 
-@pytest.mark.parametrize(
-    ("request_id", "timeout", "code"),
-    [
-        ("refuse", LONG, Code.FENCED),
-        ("break", LONG, Code.INTERNAL),
-        ("wait", 0.05, Code.PEER_UNREACHABLE),
-    ],
-)
-async def test_failures_of_single_calls_have_codes(request_id, timeout, code):
-    one, two = free_ports(2)
-    async with serving("one", one) as first, serving("two", two) as second:
-        second.handle(CancelRequest, answer)
-        first.set_address("two", f"127.0.0.1:{two}")
-        reply = await first.call_single("two", CancelRequest(request_id="one"), LONG)
-        assert reply.is_found
-        with pytest.raises(Failure) as raised:
-            request = CancelRequest(request_id=request_id)
-            await first.call_single("two", request, timeout)
-    assert raised.value.code == code
-
-
 async def test_single_calls_leave_no_threads_behind():
     """With a stream to each of many peers, two threads waited at both ends."""
     one, *others = free_ports(9)
--- a/tests/relaying/test_quota_windows.py
+++ b/tests/relaying/test_quota_windows.py
@@ -2,10 +2,10 @@
 
 import heapq
 import random
-from collections.abc import Coroutine
 
 import pytest
 
+from measure.placement import run_now
 from pepperstep.entities.routes import Quota, RouteTable, Workspace
 from pepperstep.relay.quotas import Admission, Quotas, QuotaTolerance
 
@@ -22,15 +22,6 @@
 keepers = pytest.mark.parametrize("keeper", [None, 3, 0])
 
 
-def run_now(coroutine: Coroutine[None, None, Admission]) -> Admission:
-    """Return the result of a coroutine that waits for nothing."""
-    try:
-        coroutine.send(None)
-    except StopIteration as result:
-        return result.value
-    raise RuntimeError("The coroutine waits.")
-
-
 class Hosts:
     """Hosts that learn of each other's spending by rounds of their own."""
 
