--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -26,9 +26,8 @@
 # Longest time that a caller is told to wait, in seconds.
 _MAX_RETRY_SECONDS = 2.0
 # Predicted time to the first token, as a multiple of the route's target, from
-# which a request is refused. The prediction takes other hosts' work as equal to
-# this host's and may be far off, so a request is let in that may
-# just be late.
+# which a request is refused. The prediction may be off, as parts that the upstream
+# keeps aren't known for sure, so a request is let in that may just be late.
 _LATENESS = 1.5
 # Time that a request waits for what a host that has just started doesn't know
 # yet, its routes or a service's upstreams, in seconds. They come within some
