A request whose answer was lost is in the usage

A connection that breaks before an answer left no run counted.

Change: what was sent and broke off counts once, as the protocol takes it for run. What couldn't be sent, or was refused, counts nothing.

--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -336,6 +336,8 @@
         self, attempt: Attempt, upstream: Announcement, fault: ConnectionFault
     ) -> Outcome:
         attempt.has_run = attempt.has_run or fault.was_sent
+        if fault.was_sent:
+            self._count_run(attempt)
         attempt.note_failed(upstream.id, fault.text)
         return Outcome.FAILED if fault.was_sent else Outcome.NOT_RUN
 
@@ -354,7 +356,10 @@
         self._count_run(attempt)
 
     def _count_run(self, attempt: Attempt) -> None:
-        """Count a request once for the accounting, whether or not its run fails."""
+        """Count a request once for the accounting, whether or not its run fails.
+
+        One whose answer was lost counts, too: its upstream has most likely begun it.
+        """
         if attempt.is_counted or not attempt.workspace:
             return
         attempt.is_counted = True
--- a/tests/relaying/test_relay.py
+++ b/tests/relaying/test_relay.py
@@ -148,6 +148,17 @@
         assert count_runs(world) == 1
 
 
+@pytest.mark.parametrize("path", ["/safe/1", "/unsafe/1", "/stream/1"])
+async def test_request_whose_answer_was_lost_is_in_the_usage(autojump_clock, path):
+    """An upstream has got it, and most that are lost on the way back have run."""
+    async with open_world() as world:
+        for service in ("plain", "model"):
+            await serve(world, service, breaks, breaks)
+        assert (await world.ask("e0:1", request(path))).status == 502
+        await trio.sleep(1.0)
+        assert count_runs(world) == 1
+
+
 async def test_request_that_no_upstream_began_is_not_in_the_usage(autojump_clock):
     async with open_world() as world:
         await serve(world, "plain", refuses)
