--- a/src/pepperstep/coordination/entry_book.py
+++ b/src/pepperstep/coordination/entry_book.py
@@ -105,8 +105,7 @@
     `version` grows with each report of an entry host that has this host as its source.
     Other control hosts are told of these alone, and what changed since the version that
     they have. So each fact is told by one host, what control hosts exchange grows with
-    what entry hosts count, and a question costs
-    the same with few of them and with many.
+    what entry hosts count, and a question costs the same at any number of them.
     """
 
     def __init__(self, now: Callable[[], float]):
--- a/src/pepperstep/relay/shared_load.py
+++ b/src/pepperstep/relay/shared_load.py
@@ -125,7 +125,7 @@
     async def run(self) -> None:
         """Tell keepers what has changed until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._greet_keepers)
+            nursery.start_soon(self._watch_keepers)
             while True:
                 await self._has_changed.wait()
                 await self._timers.sleep(_PAUSE_SECONDS)
@@ -134,12 +134,16 @@
                 for upstream in sorted(changed):
                     nursery.start_soon(self._exchange, upstream, _TELL_SECONDS)
 
-    async def _greet_keepers(self) -> None:
-        """Connect to keepers before requests wait for their answers."""
+    async def _watch_keepers(self) -> None:
+        """Connect to keepers before requests wait for their answers.
+
+        As one of them, drop what is over, also of upstreams that are gone.
+        """
         greeted: frozenset[str] = frozenset()
         latest: frozenset[str] = frozenset()
         same_looks = 0
         async for _ in self._timers.subscribe(_LOOK_SECONDS):
+            self._drop_over()
             keepers = self._keepers.others()
             same_looks = same_looks + 1 if keepers == latest else 1
             latest = keepers
@@ -150,6 +154,12 @@
                 await self._timers.sleep(_GREET_PAUSE_SECONDS)
             greeted = keepers
 
+    def _drop_over(self) -> None:
+        oldest = self._timers.now() - _VALID_SECONDS
+        for upstream, told in list(self._kept.items()):
+            if all(each.heard_at < oldest for each in told.values()):
+                del self._kept[upstream]
+
     def _order(self, keeper: str) -> int:
         """Return a number that orders keepers otherwise on each host."""
         text = f"{self._keepers.own_name}>{keeper}"
--- a/tests/relaying/test_shared_load.py
+++ b/tests/relaying/test_shared_load.py
@@ -220,6 +220,17 @@
         assert network.sent["WorkNotice"] == 40 * KEEPERS - KEEPERS
 
 
+async def test_keeper_forgets_what_is_over(hosts):
+    """Notices of an upstream may arrive after its end, so its end isn't enough."""
+    _, two, _ = hosts
+    for number in range(100):
+        notice = pb.WorkNotice(upstream=f"u{number}", unread=100, number=number + 1)
+        await two.load._on_notice(notice, "e9")
+    assert len(two.load._kept) == 100
+    await trio.sleep(2.5)
+    assert not two.load._kept
+
+
 async def test_an_upstream_that_left_meanwhile_gets_nothing(autojump_clock):
     async with open_hosts(3) as (hosts, network):
         network.min_delay = network.max_delay = 0.01
