--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -353,6 +353,33 @@
             "test_small_prompts_avoid_what_reads_another_hosts_large_one",
         ),
     ),
+    Mechanism(
+        9,
+        "one host grants what is left of a quota",
+        "relay/quotas.py",
+        "admission = None if claim is None else await claim(workspace.name, cost)",
+        "admission = None",
+        (f"{_QUOTAS}test_windows_are_kept_when_demand_jumps_at_many_hosts",),
+    ),
+    Mechanism(
+        7,
+        "control hosts tell each other what changed only",
+        "coordination/entry_book.py",
+        "if life.version > version",
+        "if True",
+        ("tests/relaying/test_entry_book.py::test_only_what_changed_is_told",),
+    ),
+    Mechanism(
+        7,
+        "one control host tells the others of an entry host",
+        "coordination/sync.py",
+        "return not in_contact or name == in_contact[0]",
+        "return True",
+        (
+            "tests/relaying/test_entry_book.py::"
+            "test_one_control_host_tells_the_others_of_an_entry_host",
+        ),
+    ),
     Mechanism(
         9,
         "steady upstreams follow the mean of the work",
--- a/tests/relaying/test_entry_book.py
+++ b/tests/relaying/test_entry_book.py
@@ -209,6 +209,28 @@
         assert len(world.entries["e8:1"].entry_addresses("z1")) == 59
 
 
+async def test_one_control_host_tells_the_others_of_an_entry_host(autojump_clock):
+    """It's asked by three, each of which told the other four."""
+    async with open_world(controls=5, entries=10) as world:
+        await trio.sleep(3.0)
+        told = 0
+
+        def count(sender, receiver, message) -> None:
+            nonlocal told
+            if isinstance(message, pb.SyncReply):
+                told += len(message.entries)
+
+        world.network.before = count
+        await trio.sleep(5.0)
+        # Twice a second at most, to each of four.
+        assert 0 < told <= 10 * 4 * 2 * 5
+        # Another one does once that one is lost.
+        world.kill("c0:1")
+        await trio.sleep(3.0)
+        for control in world.controls.values():
+            assert len(control.entries.ready()) == 10
+
+
 async def test_reports_age_on_their_way(autojump_clock):
     """An entry host that another control host has lost isn't there for this one."""
     async with open_world(entries=1) as world:
