--- a/src/pepperstep/coordination/sync.py
+++ b/src/pepperstep/coordination/sync.py
@@ -52,8 +52,8 @@
     # Time until a control host that starts has heard of all entry hosts.
     settling: float = 1.5
     # Control hosts that an entry host asks. Any two entry hosts have one in common
-    # among five control hosts, and 95 in 100 pairs among six; the other pairs hear
-    # of each other half a second later.
+    # among five control hosts; with more of them, some pairs hear of each other half
+    # a second later.
     fanout: int = 3
     # Between looks whether a control host that isn't asked is needed.
     idle_pause: float = 0.2
