Lines and a gauge tell of the rate limits that upstreams state

An upstream in need names in its answers the requests a second that it takes from all hosts.

Hosts now read the limit and log each change of it with whose word it was and its age (`upstream_limit`), and count the upstreams that state one (`limited_upstreams`). Nothing is decided by it yet.

A number without an end (`inf`) in `Retry-After` is no number either.

--- a/src/pepperstep/coordination/__init__.py
+++ b/src/pepperstep/coordination/__init__.py
@@ -9,6 +9,7 @@
     Announcement,
     EntryReport,
     ServiceWork,
+    StatedLimit,
     UpstreamKey,
 )
 from pepperstep.coordination.sync import Sync, SyncSettings
@@ -32,6 +33,7 @@
     "EntryReport",
     "Ordering",
     "ServiceWork",
+    "StatedLimit",
     "Sync",
     "SyncSettings",
     "TableMachine",
--- a/src/pepperstep/coordination/records.py
+++ b/src/pepperstep/coordination/records.py
@@ -9,6 +9,7 @@
     "Announcement",
     "EntryReport",
     "ServiceWork",
+    "StatedLimit",
     "UpstreamKey",
     "counts_to_messages",
     "messages_to_counts",
@@ -95,6 +96,16 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class StatedLimit:
+    """What an upstream's answers say of the requests that it takes."""
+
+    # Requests a second from all hosts together, None for any number.
+    rate: float | None
+    # Monotonic time of the latest answer that said so.
+    stated_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceWork:
     """Work that a service's upstreams are given, as means of the last seconds."""
--- a/src/pepperstep/coordination/upstream_book.py
+++ b/src/pepperstep/coordination/upstream_book.py
@@ -18,8 +18,12 @@
 import trio
 from absl import logging
 
-from pepperstep.coordination.records import Announcement, UpstreamKey
-from pepperstep.observability.decisions import UpstreamState
+from pepperstep.coordination.records import (
+    Announcement,
+    StatedLimit,
+    UpstreamKey,
+)
+from pepperstep.observability.decisions import UpstreamLimit, UpstreamState
 
 __all__ = ["UpstreamBook"]
 
@@ -32,6 +36,8 @@
 _ITSELF = "itself"
 
 _SILENT = "silent"
+# Where a limit was learned from, if no other host told of it.
+_ANSWER = "answer"
 
 # Called with what is known of an upstream.
 Subscriber = Callable[[Announcement], None]
@@ -45,6 +51,8 @@
     # Monotonic time of the latest announcement, and the control host that it came to.
     heard_at: float
     heard_by: str
+    # What its answers say of the requests that it takes, None if they say nothing.
+    limit: StatedLimit | None = None
 
 
 class UpstreamBook:
@@ -120,6 +128,38 @@
             return heard_of
         return [entry.announcement for entry in self._taking_work(service)]
 
+    def limit_of(self, upstream: UpstreamKey) -> StatedLimit | None:
+        """Return the limit that an upstream states, None if it states none now."""
+        entry = self._find(upstream)
+        if entry is None or entry.limit is None or entry.limit.rate is None:
+            return None
+        return entry.limit
+
+    def limited_count(self) -> int:
+        """Return how many upstreams state a limit."""
+        keys = [entry.announcement.key for entry in self._entries.values()]
+        return sum(self.limit_of(key) is not None for key in keys)
+
+    def note_limit(
+        self, upstream: UpstreamKey, limit: StatedLimit, told_by: str = _ANSWER
+    ) -> bool:
+        """Take in a stated limit, and return whether it differs from the known one.
+
+        The latest statement holds, whichever comes first.
+        """
+        entry = self._find(upstream)
+        if entry is None:
+            return False
+        known = entry.limit
+        if known is not None and limit.stated_at <= known.stated_at:
+            return False
+        entry.limit = limit
+        rate_before = None if known is None else known.rate
+        if limit.rate == rate_before:
+            return False
+        self._log_limit(entry, rate_before, told_by)
+        return True
+
     def heard_by(self, upstream: str) -> str:
         """Return the control host that an upstream's latest announcement came to."""
         return self._entries[upstream].heard_by
@@ -188,7 +228,7 @@
         if _says_the_same(merged, known.announcement):
             known.announcement = merged
             return False
-        entry = _Entry(merged, self.version, known.heard_at, known.heard_by)
+        entry = replace(known, announcement=merged)
         self._put(entry, told_by)
         return True
 
@@ -213,8 +253,8 @@
 
         A host that has heard of the upstream since then knows better.
         """
-        entry = self._entries.get(upstream[0])
-        if entry is None or entry.announcement.key != upstream:
+        entry = self._find(upstream)
+        if entry is None:
             return
         is_news = upstream not in self._silent and not entry.announcement.is_gone
         if is_news and entry.heard_at <= self._now() - age:
@@ -223,8 +263,8 @@
     def set_silent(self, silent: Set[UpstreamKey], told_by: str) -> None:
         """Let just these upstreams count as silent, and the others as heard of."""
         for key in sorted(silent ^ self.silent):
-            entry = self._entries.get(key[0])
-            if entry is not None and entry.announcement.key == key:
+            entry = self._find(key)
+            if entry is not None:
                 self._note_silence(entry, key in silent, told_by)
 
     def forget_silent(self, seconds: float) -> None:
@@ -292,6 +332,13 @@
         for subscriber in self._subscribers:
             subscriber(entry.announcement)
 
+    def _find(self, upstream: UpstreamKey) -> _Entry | None:
+        """Return what is known of one start of an upstream, None if it isn't known."""
+        entry = self._entries.get(upstream[0])
+        if entry is None or entry.announcement.key != upstream:
+            return None
+        return entry
+
     def _taking_work(self, service: str) -> list[_Entry]:
         """Return the upstreams of `service` that take work, silent or not, by id."""
         return [
@@ -321,6 +368,21 @@
         )
         logging.info("book: %s", event)
 
+    def _log_limit(
+        self, entry: _Entry, rate_before: float | None, told_by: str
+    ) -> None:
+        upstream = entry.announcement
+        event = UpstreamLimit(
+            upstream=upstream.id,
+            incarnation=upstream.incarnation,
+            service=upstream.service,
+            limit=entry.limit.rate,
+            limit_before=rate_before,
+            told_by=told_by,
+            stated_ms_ago=round(1000 * (self._now() - entry.limit.stated_at)),
+        )
+        logging.info("book: %s", event)
+
     def _remember_gone(self, upstream: str) -> None:
         self._gone[upstream] = None
         while len(self._gone) > _MAX_GONE:
--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -17,6 +17,7 @@
     "RequestRefused",
     "RolloutMoved",
     "TableInForce",
+    "UpstreamLimit",
     "UpstreamState",
     "UpstreamsPlanned",
     "UsageReported",
@@ -143,6 +144,23 @@
     upstreams_version: int
 
 
+class UpstreamLimit(Decision, tag="upstream_limit"):
+    """The rate limit that an upstream states has changed, as this host knows it.
+
+    Limits are requests a second from all hosts together, None for no limit.
+    """
+
+    upstream: str
+    incarnation: int
+    service: str
+    limit: float | None
+    limit_before: float | None
+    # By whose word: a host's name, or "answer" for the upstream's own answer here.
+    told_by: str
+    # Since the answer that stated it.
+    stated_ms_ago: int
+
+
 class DutyTaken(Decision, tag="duty_taken"):
     """This host acts for the whole system from now on."""
 
--- a/src/pepperstep/platform/names.py
+++ b/src/pepperstep/platform/names.py
@@ -27,6 +27,7 @@
     "ROLLOUT_START",
     "RESERVED",
     "SCALE",
+    "SERVER_LIMIT",
     "SERVES_CONTROL",
     "SERVES_DIRECTORY",
     "SERVES_EDGE",
@@ -72,6 +73,8 @@
 # Headers of answers.
 NOT_EXECUTED = b"pepperstep-not-executed"
 REPLICA = b"pepperstep-replica-id"
+# Requests a second that a replica takes from all hosts together.
+SERVER_LIMIT = b"server-limit"
 
 # Headers of calls to the platform.
 FENCE = b"pepperstep-fencing-token"
--- a/src/pepperstep/platform/wire.py
+++ b/src/pepperstep/platform/wire.py
@@ -1,5 +1,7 @@
 """Headers of relayed requests and answers."""
 
+import math
+
 from pepperstep.errors import Code, Execution, Failure
 from pepperstep.platform import names
 from pepperstep.ports.exchange import Answer, AnswerHead, Header, RequestHead
@@ -75,6 +77,7 @@
             keep_seconds=_keep_of(values.get(b"keep-alive", b"")),
             closes=b"close" in values.get(b"connection", b"").lower(),
             retry_after=_decimal_of(values.get(b"retry-after", b"")),
+            rate_limit=_limit_of(values.get(names.SERVER_LIMIT)),
         )
 
     def write_answer(self, head: AnswerHead, is_framed: bool) -> tuple[Header, ...]:
@@ -120,10 +123,26 @@
 
 
 def _decimal_of(value: bytes) -> float:
+    """Return a decimal number, 0 for what is none or has no end."""
     try:
-        return max(0.0, float(value))
+        number = float(value)
     except ValueError:
         return 0.0
+    return max(0.0, number) if math.isfinite(number) else 0.0
+
+
+def _limit_of(value: bytes | None) -> float | None:
+    """Return a limit in requests a second, None where none is named.
+
+    A value that is no number names none: nothing tells what it stands for.
+    """
+    if value is None:
+        return None
+    try:
+        limit = float(value)
+    except ValueError:
+        return None
+    return max(0.0, limit) if math.isfinite(limit) else None
 
 
 def _tokens_of(value: bytes) -> tuple[int, int, bool]:
--- a/src/pepperstep/ports/relaying.py
+++ b/src/pepperstep/ports/relaying.py
@@ -72,6 +72,9 @@
     closes: bool = False
     # Seconds until a refused request may come back, 0 if it doesn't say.
     retry_after: float = 0.0
+    # Requests a second that the upstream takes from all hosts together, None for any
+    # number.
+    rate_limit: float | None = None
 
 
 class RelayWire(Protocol):
--- a/src/pepperstep/programs/entry_host.py
+++ b/src/pepperstep/programs/entry_host.py
@@ -189,6 +189,7 @@
         watch("routes_version", "In force.", lambda: self.tables.current.version)
         watch("control_hosts", "In reach.", lambda: len(self.sync.reached))
         watch("upstreams", "That take work.", self.book.working_count)
+        watch("limited_upstreams", "That state a limit.", self.book.limited_count)
         watch("ready", "1 if callers are told of it.", lambda: self.is_ready)
 
     def _takes_streams(self) -> bool:
--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -7,7 +7,12 @@
 import trio
 from absl import logging
 
-from pepperstep.coordination import Announcement, UpstreamBook, UpstreamKey
+from pepperstep.coordination import (
+    Announcement,
+    StatedLimit,
+    UpstreamBook,
+    UpstreamKey,
+)
 from pepperstep.entities.routes import Route, Service, Workspace
 from pepperstep.ports import Timers
 from pepperstep.ports.exchange import (
@@ -191,6 +196,7 @@
             )
             head, facts = await self._find_answer(attempt, connection, head)
             self._pools.note_keep_seconds(upstream.key, facts.keep_seconds)
+            self._note_limit(attempt, upstream, head, facts)
             outcome = await self._take(attempt, upstream, connection, head, facts)
             if facts.closes:
                 connection.close()
@@ -233,6 +239,29 @@
             raise ConnectionFault("the answer belongs to another request", True)
         return head, facts
 
+    def _note_limit(
+        self,
+        attempt: Attempt,
+        upstream: Announcement,
+        head: AnswerHead,
+        facts: AnswerFacts,
+    ) -> None:
+        """Take in the rate limit that an upstream states, or states no more.
+
+        Only a success without it says that it has ended, and only to a request sent
+        after it was stated: answers overtake each other.
+        """
+        if facts.other_upstream and facts.other_upstream != upstream.id:
+            return
+        if facts.rate_limit is None:
+            known = self._book.limit_of(upstream.key)
+            if known is None or head.status not in _SUCCESSES:
+                return
+            if attempt.begun_at <= known.stated_at:
+                return
+        limit = StatedLimit(facts.rate_limit, self._timers.now())
+        self._book.note_limit(upstream.key, limit)
+
     async def _take(
         self,
         attempt: Attempt,
--- a/tests/relaying/test_platform.py
+++ b/tests/relaying/test_platform.py
@@ -200,3 +200,22 @@
     assert answer.status == status
     has_time = b"retry-after" in dict(answer.headers)
     assert has_time == (failure.retry_after is not None)
+
+
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [
+        (b"2.5", 2.5),
+        (b"0", 0.0),
+        (b" 3 ", 3.0),
+        (b"-1", 0.0),
+        (b"many", None),
+        (b"", None),
+        (b"nan", None),
+        (b"inf", None),
+    ],
+)
+def test_stated_limit_is_a_number_or_none_at_all(value, limit):
+    head = AnswerHead(200, ((b"server-limit", value),))
+    assert PlatformWire().read_answer(head).rate_limit == limit
+    assert PlatformWire().read_answer(AnswerHead(200, ())).rate_limit is None
--- a/tests/relaying/test_sight.py
+++ b/tests/relaying/test_sight.py
@@ -5,7 +5,11 @@
 from absl import logging
 
 from pepperstep.fakes.relaying import Reply
-from pepperstep.observability.decisions import RequestRefused, UpstreamState
+from pepperstep.observability.decisions import (
+    RequestRefused,
+    UpstreamLimit,
+    UpstreamState,
+)
 from pepperstep.ports.exchange import AnswerHead
 from tests.relaying.world import open_world, request
 
@@ -95,3 +99,28 @@
         await trio.sleep(1.0)
         for host in [*world.controls.values(), *world.entries.values()]:
             assert "pepperstep_upstreams 1.0" in host.metrics.render().decode()
+
+
+async def test_lines_and_metrics_tell_of_a_stated_limit(autojump_clock, events):
+    limits = [b"2.5", None, b"2.5", None]
+
+    def answer(sent) -> Reply:
+        headers = [(b"pepperstep-attempt-id", b"id-1")]
+        limit = limits.pop(0)
+        if limit is not None:
+            headers.append((b"server-limit", limit))
+        return Reply(AnswerHead(200, tuple(headers)), (b"x",))
+
+    async with open_world() as world:
+        world.connector.scripts["u1:80"] = answer
+        await world.announce("c0:1", "u1", "plain")
+        await trio.sleep(1.0)
+        metrics = world.entries["e0:1"].metrics
+        for expected in (1.0, 0.0):
+            await world.ask("e0:1", request("/safe/1"))
+            assert f"limited_upstreams {expected}".encode() in metrics.render()
+            await trio.sleep(1.0)
+    lines = [each for each in events if isinstance(each, UpstreamLimit)]
+    told = [(each.limit_before, each.limit, each.told_by) for each in lines]
+    assert (None, 2.5, "answer") in told
+    assert (2.5, None, "answer") in told
