A line tells when a host leaves an upstream alone, and who granted no permit

A host that gets no permit places requests elsewhere for a while. Without a line, a request that was refused for it, or an upstream that got little, couldn't be traced to the host that grants the permits. `upstream_held` has the time, the reason and that host's name.

--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -33,7 +33,8 @@
         8,
         "a host that was granted nothing leaves the upstream alone",
         "relay/permits.py",
-        "        self._backoff.hold(upstream, bounded)\n        return False\n",
+        '        self._backoff.hold(upstream, bounded, "no permit", asked)\n'
+        "        return False\n",
         "        return True\n",
         (
             f"{_LIMITS}test_all_hosts_together_keep_an_upstreams_stated_limit"
--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -17,6 +17,7 @@
     "RequestRefused",
     "RolloutMoved",
     "TableInForce",
+    "UpstreamHeld",
     "UpstreamLimit",
     "UpstreamState",
     "UpstreamsPlanned",
@@ -144,6 +145,18 @@
     upstreams_version: int
 
 
+class UpstreamHeld(Decision, tag="upstream_held"):
+    """This host leaves an upstream alone for a while."""
+
+    upstream: str
+    incarnation: int
+    reason: str
+    for_ms: int
+    # The host that grants the upstream's permits and granted none, "" for this host's
+    # own decision.
+    asked: str = ""
+
+
 class UpstreamLimit(Decision, tag="upstream_limit"):
     """The rate limit that an upstream states has changed, as this host knows it.
 
--- a/src/pepperstep/relay/backoff.py
+++ b/src/pepperstep/relay/backoff.py
@@ -2,7 +2,10 @@
 
 from collections.abc import Callable, Iterable
 
+from absl import logging
+
 from pepperstep.coordination import UpstreamKey
+from pepperstep.observability.decisions import UpstreamHeld
 
 __all__ = ["Backoff"]
 
@@ -14,10 +17,20 @@
         self._now = now
         self._until: dict[UpstreamKey, float] = {}
 
-    def hold(self, upstream: UpstreamKey, seconds: float) -> None:
-        """Send an upstream nothing for so long, or longer if that was said before."""
+    def hold(
+        self, upstream: UpstreamKey, seconds: float, reason: str, asked: str = ""
+    ) -> None:
+        """Send an upstream nothing for so long, or longer if that was said before.
+
+        `asked` names the host that decided it, "" for this one.
+        """
         until = self._now() + seconds
-        self._until[upstream] = max(until, self._until.get(upstream, until))
+        if until <= self._until.get(upstream, 0.0):
+            return
+        self._until[upstream] = until
+        name, incarnation = upstream
+        event = UpstreamHeld(name, incarnation, reason, round(1000 * seconds), asked)
+        logging.info("backoff: %s", event)
 
     def is_held(self, upstream: UpstreamKey) -> bool:
         """Whether an upstream gets nothing now."""
--- a/src/pepperstep/relay/permits.py
+++ b/src/pepperstep/relay/permits.py
@@ -87,14 +87,15 @@
         if limit is None:
             return True
         wait = await self._claim(upstream, limit)
+        asked = self._keepers.keeper_of(upstream[0]) or ""
         if wait is None:
-            wait = self._take_share(upstream, limit)
+            wait, asked = self._take_share(upstream, limit), ""
         else:
             self._shares.pop(upstream, None)
         if wait <= 0:
             return True
         bounded = min(max(wait, _MIN_WAIT_SECONDS), _MAX_WAIT_SECONDS)
-        self._backoff.hold(upstream, bounded)
+        self._backoff.hold(upstream, bounded, "no permit", asked)
         return False
 
     def forget(self, upstream: UpstreamKey) -> None:
--- a/tests/relaying/test_stated_limits.py
+++ b/tests/relaying/test_stated_limits.py
@@ -6,8 +6,10 @@
 
 import pytest
 import trio
+from absl import logging
 
 from pepperstep.fakes.relaying import Reply
+from pepperstep.observability.decisions import UpstreamHeld
 from pepperstep.ports.exchange import AnswerHead
 from tests.relaying.world import open_world, request
 
@@ -148,6 +150,19 @@
         assert load.statuses.count(200) >= 0.95 * len(load.statuses)
 
 
+async def test_line_tells_who_granted_no_permit(autojump_clock, monkeypatch):
+    events = []
+    keep = lambda text, event=None, *_: events.append(event)  # noqa: E731
+    monkeypatch.setattr(logging, "info", keep)
+    async with serving([Upstream(lambda now: 1.0), Upstream()], 3) as world:
+        await Load(world).run(3.0)
+        keeper = granting_host(world, "u0")
+    held = [each for each in events if isinstance(each, UpstreamHeld)]
+    assert {each.upstream for each in held} == {"u0"}
+    assert {each.asked for each in held} == {keeper}
+    assert all(each.for_ms > 0 for each in held)
+
+
 async def test_what_exceeds_all_limits_is_refused_at_once(autojump_clock):
     async with serving([Upstream(lambda now: 2.0)], 7) as world:
         load = Load(world, rate=20.0)
