A line names the answer that says first that its upstream leaves

Whether a host that was told so by an answer took it in, or took it in and was told otherwise later, couldn't be seen: no line told what an answer says of its upstream. `upstream_leaving` has the request, and whether the host knew it already and by which version of the upstreams. Nothing is decided by it yet.

--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -18,6 +18,7 @@
     "RolloutMoved",
     "TableInForce",
     "UpstreamHeld",
+    "UpstreamLeaving",
     "UpstreamLimit",
     "UpstreamState",
     "UpstreamsPlanned",
@@ -157,6 +158,18 @@
     asked: str = ""
 
 
+class UpstreamLeaving(Decision, tag="upstream_leaving"):
+    """An answer says for the first time on this host that its upstream leaves."""
+
+    request: str
+    upstream: str
+    incarnation: int
+    service: str
+    # Whether this host had been told so before, and by which of the book's versions.
+    was_known: bool
+    upstreams_version: int
+
+
 class UpstreamLimit(Decision, tag="upstream_limit"):
     """The rate limit that an upstream states has changed, as this host knows it.
 
--- a/src/pepperstep/platform/names.py
+++ b/src/pepperstep/platform/names.py
@@ -27,6 +27,7 @@
     "ROLLOUT_START",
     "RESERVED",
     "SCALE",
+    "SERVER_LEAVING",
     "SERVER_LIMIT",
     "SERVES_CONTROL",
     "SERVES_DIRECTORY",
@@ -75,6 +76,8 @@
 REPLICA = b"pepperstep-replica-id"
 # Requests a second that a replica takes from all hosts together.
 SERVER_LIMIT = b"server-limit"
+# Whether the replica leaves.
+SERVER_LEAVING = b"server-leaving"
 
 # Headers of calls to the platform.
 FENCE = b"pepperstep-fencing-token"
--- a/src/pepperstep/platform/wire.py
+++ b/src/pepperstep/platform/wire.py
@@ -15,6 +15,7 @@
 __all__ = ["PlatformWire"]
 
 _BEARER = "bearer "
+_TRUE = b"1"
 # Statuses of failures where the request hasn't run.
 _STATUS_NOT_RUN = {
     Code.INVALID_REQUEST: 400,
@@ -77,6 +78,7 @@
             keep_seconds=_keep_of(values.get(b"keep-alive", b"")),
             closes=b"close" in values.get(b"connection", b"").lower(),
             retry_after=_decimal_of(values.get(b"retry-after", b"")),
+            is_leaving=values.get(names.SERVER_LEAVING, b"").strip() == _TRUE,
             rate_limit=_limit_of(values.get(names.SERVER_LIMIT)),
         )
 
--- a/src/pepperstep/ports/relaying.py
+++ b/src/pepperstep/ports/relaying.py
@@ -75,6 +75,8 @@
     # Requests a second that the upstream takes from all hosts together, None for any
     # number.
     rate_limit: float | None = None
+    # Whether the upstream is about to end.
+    is_leaving: bool = False
 
 
 class RelayWire(Protocol):
--- a/src/pepperstep/programs/entry_host.py
+++ b/src/pepperstep/programs/entry_host.py
@@ -300,6 +300,7 @@
         self._chooser.forget(upstream)
         self._shared_load.forget(upstream)
         self._permits.forget(upstream)
+        self._signals.forget(upstream)
         self._backoff.forget(upstream)
 
     def _note_reply(self, control_host: str, reply: pb.SyncReply, age: float) -> None:
--- a/src/pepperstep/relay/signals.py
+++ b/src/pepperstep/relay/signals.py
@@ -17,6 +17,7 @@
     UpstreamKey,
 )
 from pepperstep.errors import Failure
+from pepperstep.observability.decisions import UpstreamLeaving
 from pepperstep.ports import PeerNetwork, Timers
 from pepperstep.ports.relaying import AnswerFacts
 from pepperstep.proto import coordination_pb2 as pb
@@ -44,6 +45,8 @@
         self._timers = timers
         self._rng = rng
         self._control_hosts = control_hosts
+        # Those whose answers say that they leave.
+        self._leaving: set[UpstreamKey] = set()
         # Upstreams of which something is to be told.
         self._news: set[UpstreamKey] = set()
         self._has_news = trio.Event()
@@ -54,6 +57,8 @@
         """Take in an answer to a request that was sent at monotonic time `begun_at`."""
         if facts.other_upstream and facts.other_upstream != upstream.id:
             return
+        if facts.is_leaving:
+            self._note_leaving(upstream, facts)
         if self._says_nothing(upstream.key, status, facts, begun_at):
             return
         limit = StatedLimit(facts.rate_limit, self._timers.now())
@@ -61,6 +66,10 @@
             self._news.add(upstream.key)
             self._has_news.set()
 
+    def forget(self, upstream: UpstreamKey) -> None:
+        """Drop what is known of an upstream that is gone."""
+        self._leaving.discard(upstream)
+
     async def run(self) -> None:
         """Tell control hosts the news until cancelled."""
         while True:
@@ -70,6 +79,21 @@
             for upstream in sorted(news):
                 await self._tell(upstream)
 
+    def _note_leaving(self, upstream: Announcement, facts: AnswerFacts) -> None:
+        if upstream.key in self._leaving:
+            return
+        self._leaving.add(upstream.key)
+        known = self._book.get(upstream.id)
+        event = UpstreamLeaving(
+            request=facts.attempt_id.decode("latin-1"),
+            upstream=upstream.id,
+            incarnation=upstream.incarnation,
+            service=upstream.service,
+            was_known=known is None or not known.takes_work,
+            upstreams_version=self._book.version,
+        )
+        logging.info("signals: %s", event)
+
     def _says_nothing(
         self, upstream: UpstreamKey, status: int, facts: AnswerFacts, begun_at: float
     ) -> bool:
--- a/tests/relaying/test_sight.py
+++ b/tests/relaying/test_sight.py
@@ -7,6 +7,7 @@
 from pepperstep.fakes.relaying import Reply
 from pepperstep.observability.decisions import (
     RequestRefused,
+    UpstreamLeaving,
     UpstreamLimit,
     UpstreamState,
 )
@@ -125,3 +126,17 @@
     assert {(None, 2.5, "answer"), (2.5, None, "answer")} <= told
     control_hosts = {(None, 2.5, f"c{number}:1") for number in range(3)}
     assert control_hosts & told
+
+
+async def test_line_names_the_answer_that_says_its_upstream_leaves(
+    autojump_clock, events
+):
+    headers = ((b"pepperstep-attempt-id", b"id-1"), (b"server-leaving", b"1"))
+    async with open_world(entries=1) as world:
+        reply = Reply(AnswerHead(200, headers), (b"x",))
+        world.connector.scripts["u1:80"] = lambda sent: reply
+        await world.announce("c0:1", "u1", "plain")
+        await trio.sleep(1.0)
+        await world.ask("e0:1", request("/safe/1"))
+    [line] = [each for each in events if isinstance(each, UpstreamLeaving)]
+    assert (line.request, line.upstream, line.was_known) == ("id-1", "u1", False)
