An upstream that says in an answer that it leaves gets no further requests

Cause: hosts learned that an upstream leaves from control hosts alone.

The same class as the stated rate limit: what an upstream says of itself in an answer was taken for a matter of that one request. It's now taken in by the book of upstreams at once, and told by the control hosts in reach to all others; all of these, as one of them may be cut off. It can't be taken back but by a new start of the upstream.

Without either of two mechanisms its test fails.

The line `upstream_leaving` has no `was_known` any more: it's logged only where it's news, and the test wants the change of the upstream's state by the answer's word besides.

--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -12,12 +12,31 @@
 _PLACEMENT = "tests/relaying/test_placement.py::"
 _QUOTAS = "tests/relaying/test_quota_windows.py::"
 _PARTIAL = "tests/relaying/test_partial_views.py::"
+_LEAVING = "tests/relaying/test_leaving_upstreams.py::"
 _LIMITS = "tests/relaying/test_stated_limits.py::"
 _SILENCE = "tests/relaying/test_silence.py::"
 _SILENT = "tests/relaying/test_silent_upstreams.py::"
 _RESTARTS = "tests/relaying/test_upstream_restarts.py::"
 
 RELAY_MECHANISMS = (
+    Mechanism(
+        5,
+        "an upstream that says in an answer that it leaves is taken at its word",
+        "relay/signals.py",
+        "if facts.is_leaving and self._book.note_leaving(upstream.key):",
+        "if False:",
+        (
+            f"{_LEAVING}test_host_that_reaches_no_control_host_takes_an_answer_at_its_word",
+        ),
+    ),
+    Mechanism(
+        5,
+        "what one host's answer says of its upstream is told to all",
+        "coordination/control_desk.py",
+        "            self._book.note_leaving(upstream, sender)\n",
+        "            pass\n",
+        (f"{_LEAVING}test_one_hosts_answer_tells_all_hosts",),
+    ),
     Mechanism(
         8,
         "one host grants the permits of a stated limit for all",
@@ -45,8 +64,8 @@
         8,
         "one host's answer with a limit is told to all",
         "relay/signals.py",
-        "            self._has_news.set()\n",
-        "            pass\n",
+        "        self._has_news.set()\n",
+        "        pass\n",
         (f"{_LIMITS}test_hosts_that_were_not_told_by_the_upstream_keep_its_limit",),
     ),
     Mechanism(
--- a/src/pepperstep/coordination/control_desk.py
+++ b/src/pepperstep/coordination/control_desk.py
@@ -191,6 +191,8 @@
         if message.HasField("limit"):
             limit = StatedLimit.from_message(message.limit, self._timers.now())
             self._book.note_limit(upstream, limit, sender)
+        if message.is_leaving:
+            self._book.note_leaving(upstream, sender)
         return pb.AnswerNoticeReply()
 
     async def _on_sync(self, request: pb.SyncRequest, sender: str) -> pb.SyncReply:
--- a/src/pepperstep/coordination/upstream_book.py
+++ b/src/pepperstep/coordination/upstream_book.py
@@ -38,7 +38,7 @@
 _ITSELF = "itself"
 
 _SILENT = "silent"
-# Where a limit was learned from, if no other host told of it.
+# Where something was learned from, if no other host told of it.
 _ANSWER = "answer"
 
 # Called with what is known of an upstream.
@@ -145,6 +145,18 @@
         keys = [entry.announcement.key for entry in self._entries.values()]
         return sum(self.limit_of(key) is not None for key in keys)
 
+    def note_leaving(self, upstream: UpstreamKey, told_by: str = _ANSWER) -> bool:
+        """Take in that an upstream's answers say that it leaves.
+
+        Return whether that's news.
+        """
+        entry = self._find(upstream)
+        if entry is None or not entry.announcement.takes_work:
+            return False
+        leaving = replace(entry.announcement, is_leaving=True)
+        self._put(replace(entry, announcement=leaving), told_by)
+        return True
+
     def note_limit(
         self, upstream: UpstreamKey, limit: StatedLimit, told_by: str = _ANSWER
     ) -> bool:
--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -159,14 +159,13 @@
 
 
 class UpstreamLeaving(Decision, tag="upstream_leaving"):
-    """An answer says for the first time on this host that its upstream leaves."""
+    """An answer says that its upstream leaves, and this host hadn't been told."""
 
     request: str
     upstream: str
     incarnation: int
     service: str
-    # Whether this host had been told so before, and by which of the book's versions.
-    was_known: bool
+    # Version of the book with that taken in.
     upstreams_version: int
 
 
--- a/src/pepperstep/programs/entry_host.py
+++ b/src/pepperstep/programs/entry_host.py
@@ -122,7 +122,6 @@
             self.book,
             ports.peers,
             ports.timers,
-            ports.rng,
             lambda: self.sync.reached,
         )
         self._chooser = Chooser(
@@ -300,7 +299,6 @@
         self._chooser.forget(upstream)
         self._shared_load.forget(upstream)
         self._permits.forget(upstream)
-        self._signals.forget(upstream)
         self._backoff.forget(upstream)
 
     def _note_reply(self, control_host: str, reply: pb.SyncReply, age: float) -> None:
--- a/src/pepperstep/relay/signals.py
+++ b/src/pepperstep/relay/signals.py
@@ -4,7 +4,6 @@
 control hosts tell all the others.
 """
 
-import random
 from collections.abc import Callable
 
 import trio
@@ -37,16 +36,12 @@
         book: UpstreamBook,
         peers: PeerNetwork,
         timers: Timers,
-        rng: random.Random,
         control_hosts: Callable[[], list[str]],
     ):
         self._book = book
         self._peers = peers
         self._timers = timers
-        self._rng = rng
         self._control_hosts = control_hosts
-        # Those whose answers say that they leave.
-        self._leaving: set[UpstreamKey] = set()
         # Upstreams of which something is to be told.
         self._news: set[UpstreamKey] = set()
         self._has_news = trio.Event()
@@ -57,18 +52,14 @@
         """Take in an answer to a request that was sent at monotonic time `begun_at`."""
         if facts.other_upstream and facts.other_upstream != upstream.id:
             return
-        if facts.is_leaving:
-            self._note_leaving(upstream, facts)
+        if facts.is_leaving and self._book.note_leaving(upstream.key):
+            self._log_leaving(upstream, facts)
+            self._tell_soon(upstream.key)
         if self._says_nothing(upstream.key, status, facts, begun_at):
             return
         limit = StatedLimit(facts.rate_limit, self._timers.now())
         if self._book.note_limit(upstream.key, limit):
-            self._news.add(upstream.key)
-            self._has_news.set()
-
-    def forget(self, upstream: UpstreamKey) -> None:
-        """Drop what is known of an upstream that is gone."""
-        self._leaving.discard(upstream)
+            self._tell_soon(upstream.key)
 
     async def run(self) -> None:
         """Tell control hosts the news until cancelled."""
@@ -79,21 +70,20 @@
             for upstream in sorted(news):
                 await self._tell(upstream)
 
-    def _note_leaving(self, upstream: Announcement, facts: AnswerFacts) -> None:
-        if upstream.key in self._leaving:
-            return
-        self._leaving.add(upstream.key)
-        known = self._book.get(upstream.id)
+    def _log_leaving(self, upstream: Announcement, facts: AnswerFacts) -> None:
         event = UpstreamLeaving(
             request=facts.attempt_id.decode("latin-1"),
             upstream=upstream.id,
             incarnation=upstream.incarnation,
             service=upstream.service,
-            was_known=known is None or not known.takes_work,
             upstreams_version=self._book.version,
         )
         logging.info("signals: %s", event)
 
+    def _tell_soon(self, upstream: UpstreamKey) -> None:
+        self._news.add(upstream)
+        self._has_news.set()
+
     def _says_nothing(
         self, upstream: UpstreamKey, status: int, facts: AnswerFacts, begun_at: float
     ) -> bool:
@@ -110,23 +100,25 @@
         return begun_at <= known.stated_at
 
     async def _tell(self, upstream: UpstreamKey) -> None:
-        """Tell one control host, which tells all hosts."""
-        limit = self._book.latest_limit(upstream)
-        if limit is None:
-            return
+        """Tell the control hosts in reach; each tells the hosts that ask it."""
+        notice = self._make_notice(upstream)
+        async with trio.open_nursery() as nursery:
+            for control_host in self._control_hosts():
+                nursery.start_soon(self._tell_one, control_host, notice)
+
+    async def _tell_one(self, control_host: str, notice: pb.AnswerNotice) -> None:
+        try:
+            await self._peers.call(control_host, notice, _TELL_SECONDS)
+        except Failure as failure:
+            logging.info("signals: %s misses a notice: %s", control_host, failure.text)
+
+    def _make_notice(self, upstream: UpstreamKey) -> pb.AnswerNotice:
         name, incarnation = upstream
-        reached = self._control_hosts()
-        for control_host in self._rng.sample(reached, len(reached)):
-            notice = pb.AnswerNotice(
-                upstream=name,
-                incarnation=incarnation,
-                limit=limit.to_message(self._timers.now()),
-            )
-            try:
-                await self._peers.call(control_host, notice, _TELL_SECONDS)
-            except Failure as failure:
-                logging.info(
-                    "signals: %s misses a notice: %s", control_host, failure.text
-                )
-            else:
-                return
+        notice = pb.AnswerNotice(upstream=name, incarnation=incarnation)
+        known = self._book.get(name)
+        if known is not None and known.key == upstream:
+            notice.is_leaving = not known.takes_work
+        limit = self._book.latest_limit(upstream)
+        if limit is not None:
+            notice.limit.CopyFrom(limit.to_message(self._timers.now()))
+        return notice
--- a/tests/relaying/test_leaving_upstreams.py
+++ b/tests/relaying/test_leaving_upstreams.py
@@ -74,3 +74,90 @@
         assert leaving.since(LEAVES_AT) > 0
         assert leaving.since(LEAVES_AT + NOTICE) == 0
         assert set(statuses) == {200}
+
+
+async def test_one_hosts_answer_tells_all_hosts(autojump_clock):
+    leaving = Upstream(LEAVES_AT)
+    async with serving(leaving, Upstream()) as world:
+        await trio.sleep_until(LEAVES_AT)
+        while not leaving.since(LEAVES_AT):
+            await world.ask("e0:1", request("/safe/1"))
+        await trio.sleep(0.3)
+        told = leaving.since(LEAVES_AT)
+        await ask_all(world, 3.0)
+        assert leaving.since(LEAVES_AT) == told
+
+
+async def test_host_that_reaches_no_control_host_takes_an_answer_at_its_word(
+    autojump_clock,
+):
+    leaving = Upstream(LEAVES_AT)
+    async with serving(leaving, Upstream(), entries=1) as world:
+        world.cut_off("e0:1")
+        await trio.sleep_until(LEAVES_AT)
+        statuses = await ask_all(world, 10.0)
+        assert leaving.since(LEAVES_AT) == 1
+        assert set(statuses) == {200}
+
+
+async def test_announcement_on_the_other_side_of_a_cut_takes_nothing_back(
+    autojump_clock,
+):
+    """The control hosts that miss its word hear on of the upstream as working."""
+    leaving = Upstream(LEAVES_AT)
+    async with serving(leaving, Upstream(), controls=5) as world:
+        for name in ("c0:1", "c1:1"):
+            world.cut_off(name, ("c2:1", "c3:1", "c4:1"))
+        await trio.sleep_until(LEAVES_AT)
+        await ask_all(world, 2.0)
+        for sequence in range(2, 6):
+            await world.announce("c3:1", "plain0", "plain", sequence=sequence)
+            await ask_all(world, 1.0)
+        assert leaving.since(LEAVES_AT + NOTICE) == 0
+
+
+async def test_last_upstream_that_leaves_gets_nothing_more(autojump_clock):
+    leaving = Upstream(LEAVES_AT)
+    async with serving(leaving) as world:
+        await trio.sleep_until(LEAVES_AT)
+        statuses = await ask_all(world, 5.0)
+        assert leaving.since(LEAVES_AT + NOTICE) == 0
+        assert set(statuses) == {200, 503}
+
+
+async def test_refusal_that_says_that_its_upstream_leaves_counts(autojump_clock):
+    leaving = Upstream(LEAVES_AT, status=503)
+    async with serving(leaving, Upstream()) as world:
+        await trio.sleep_until(LEAVES_AT)
+        await ask_all(world, 5.0)
+        assert leaving.since(LEAVES_AT + NOTICE) == 0
+
+
+async def test_next_start_of_an_upstream_that_left_is_used(autojump_clock):
+    leaving = Upstream(LEAVES_AT)
+    async with serving(leaving, Upstream()) as world:
+        await trio.sleep_until(LEAVES_AT)
+        await ask_all(world, 2.0)
+        leaving.leaves_at = float("inf")
+        await world.announce("c1:1", "plain0", "plain", incarnation=9)
+        begin = trio.current_time() + 1.0
+        await ask_all(world, 3.0)
+        assert leaving.since(begin) > 0
+
+
+async def test_answer_of_another_upstream_at_the_address_says_nothing_of_this(
+    autojump_clock,
+):
+    head = AnswerHead(
+        421,
+        (
+            (b"pepperstep-attempt-id", b"id-1"),
+            (b"pepperstep-not-executed", b"1"),
+            (b"pepperstep-replica-id", b"other"),
+            (b"server-leaving", b"1"),
+        ),
+    )
+    async with serving(Upstream(), entries=1) as world:
+        world.connector.scripts["plain0:80"] = lambda sent: Reply(head)
+        await world.ask("e0:1", request("/safe/1"))
+        assert not world.entries["e0:1"].book.get("plain0").is_leaving
