Properties of what upstreams say, through troubles of hosts drawn by seeds

Nine entry hosts, five control hosts and six upstreams for 40 virtual seconds: limits that come, end and stay, refusals with a time to come back, an upstream that leaves by its answers alone, while entry hosts are killed, frozen and cut off and control hosts are killed and cut in two. Checked are the three rules as the users state them, with hosts excused only by their own troubles, and that four in five requests are served. Fakes now tell which host has sent a request.

--- a/src/pepperstep/fakes/relaying.py
+++ b/src/pepperstep/fakes/relaying.py
@@ -39,6 +39,8 @@
     head: RequestHead
     body: bytes
     time: float
+    # The host that sent it, "" where hosts share a connector.
+    host: str = ""
 
 
 Script = Callable[[Sent], Reply | Awaitable[Reply]]
@@ -56,20 +58,39 @@
     opened: int = 0
     closed: int = 0
 
-    async def connect(self, address: str, timeout: float) -> "_FakeConnection":
+    async def connect(
+        self, address: str, timeout: float, host: str = ""
+    ) -> "_FakeConnection":
         """Return a new connection."""
         await trio.sleep(0.0005)
         if address not in self.scripts:
             raise ConnectionFault("refused", False)
         self.opened += 1
-        return _FakeConnection(self, address)
+        return _FakeConnection(self, address, host)
+
+    def for_host(self, host: str) -> "_HostConnector":
+        """Return a connector to the same upstreams that names the sending host."""
+        return _HostConnector(self, host)
+
+
+@dataclass(frozen=True)
+class _HostConnector:
+    """One host's connector."""
+
+    _connector: FakeConnector
+    _host: str
+
+    async def connect(self, address: str, timeout: float) -> "_FakeConnection":
+        """Return a new connection."""
+        return await self._connector.connect(address, timeout, self._host)
 
 
 class _FakeConnection:
     """A connection to a scripted upstream."""
 
-    def __init__(self, connector: FakeConnector, address: str):
+    def __init__(self, connector: FakeConnector, address: str, host: str):
         self._connector = connector
+        self._host = host
         self._address = address
         self._reply = Reply()
         self._is_whole = True
@@ -78,7 +99,8 @@
 
     async def send(self, head: RequestHead, body: bytes) -> AnswerHead:
         """Hand the request to the script and return the head of its answer."""
-        sent = Sent(self._address, head, body, trio.current_time())
+        now = trio.current_time()
+        sent = Sent(self._address, head, body, now, self._host)
         self._connector.sent.append(sent)
         self._is_whole = False
         script = self._connector.scripts.get(self._address)
--- /dev/null
+++ b/tests/relaying/test_signal_properties.py
@@ -0,0 +1,228 @@
+"""What upstreams say in their answers holds through troubles of hosts."""
+
+import random
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+import pytest
+import trio
+
+from pepperstep.fakes.relaying import FakeExchange, Reply
+from pepperstep.ports.exchange import AnswerHead, CallerGone
+from tests.relaying.world import open_world, request
+
+ENTRIES = 9
+CONTROLS = 5
+SEEDS = tuple(f"c{number}:1" for number in range(3))
+UPSTREAMS = 6
+SECONDS = 40.0
+REQUESTS_A_SECOND = 60.0
+# Time from which a stated limit binds; from an answer on, until a host obeys a limit,
+# a time to come back, and a word that the upstream leaves. In seconds.
+SETTLING = 3.0
+LIMIT_NOTICE = 0.5
+HOLD_NOTICE = 0.5
+LEAVE_NOTICE = 2.0
+WINDOW = 4.0
+# Requests that may reach an upstream in a window besides, and from a host while it
+# wants none.
+SLACK = 5
+MOST_HELD = 2
+
+
+@dataclass
+class Upstream:
+    """An upstream that says drawn things in its answers, and notes who sent what."""
+
+    name: str
+    # Requests a second from `limited_at` until `free_at`; times that begin later win.
+    limit: float = 0.0
+    limited_at: float = float("inf")
+    free_at: float = float("inf")
+    leaves_at: float = float("inf")
+    refuses: tuple[float, float] = (float("inf"), float("inf"))
+    retry_after: float = 0.0
+    # Arrivals as times and hosts, and answers by what they said.
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+    limits_told: dict[str, float] = field(default_factory=dict)
+    leaving_told: dict[str, float] = field(default_factory=dict)
+    refused: list[tuple[float, str]] = field(default_factory=list)
+
+    def answer(self, sent) -> Reply:
+        """Answer a request."""
+        now, host = sent.time, sent.host
+        self.arrivals.append((now, host))
+        headers = [(b"pepperstep-attempt-id", b"id-1")]
+        if self.limited_at <= now < self.free_at:
+            headers.append((b"server-limit", b"%.2f" % self.limit))
+            self.limits_told.setdefault(host, now)
+        if now >= self.leaves_at:
+            headers.append((b"server-leaving", b"1"))
+            self.leaving_told.setdefault(host, now)
+        if self.refuses[0] <= now < self.refuses[1]:
+            headers.append((b"retry-after", b"%.2f" % self.retry_after))
+            headers.append((b"pepperstep-not-executed", b"1"))
+            self.refused.append((now, host))
+            return Reply(AnswerHead(503, tuple(headers)), (b"busy",))
+        return Reply(AnswerHead(200, tuple(headers)), (b"ok",), delay=0.01)
+
+    def check_limit(self, excused: dict[str, list[float]]) -> None:
+        """Fail if told hosts together have sent more than the limit allows."""
+        times = [
+            now
+            for now, host in self.arrivals
+            if self.limited_at + SETTLING <= now < self.free_at
+            and now >= self.limits_told.get(host, now) + LIMIT_NOTICE
+            and not _is_excused(excused, host, self.limited_at, now)
+        ]
+        allowed = 1.5 * self.limit * WINDOW + SLACK
+        for first in times:
+            count = sum(first <= each < first + WINDOW for each in times)
+            assert count <= allowed, (self.name, first, count, allowed)
+
+    def check_leaving(self, excused: dict[str, list[float]]) -> None:
+        """Fail if a host has sent something after it was told."""
+        for now, host in self.arrivals:
+            told = self.leaving_told.get(host, now)
+            if now > told + LEAVE_NOTICE and not _is_excused(excused, host, told, now):
+                pytest.fail(f"{self.name} leaves, and {host} sends at {now}")
+
+    def check_refusals(self, excused: dict[str, list[float]]) -> None:
+        """Fail if a host has sent more than a few while nothing was wanted."""
+        for told, host in self.refused:
+            begin, end = told + HOLD_NOTICE, told + self.retry_after
+            later = [
+                now
+                for now, sender in self.arrivals
+                if sender == host
+                and begin <= now < end
+                and not _is_excused(excused, host, told, now)
+            ]
+            assert len(later) <= MOST_HELD, (self.name, host, told, later)
+
+
+def _is_excused(
+    excused: dict[str, list[float]], host: str, begin: float, end: float
+) -> bool:
+    """Whether a host was restarted, frozen or cut off between two times."""
+    return any(begin <= each <= end for each in excused.get(host, ()))
+
+
+class Day:
+    """Troubles and load of one seed."""
+
+    def __init__(self, world, seed: int):
+        self._world = world
+        self._rng = random.Random(seed)
+        self.upstreams = [Upstream(f"u{number}") for number in range(UPSTREAMS)]
+        # Times of troubles that excuse a host.
+        self.excused: dict[str, list[float]] = {}
+        self.statuses: list[int] = []
+
+    async def prepare(self) -> None:
+        """Let the upstreams be known, and draw what they'll say."""
+        for upstream in self.upstreams:
+            self._world.connector.scripts[f"{upstream.name}:80"] = upstream.answer
+            await self._world.announce("c0:1", upstream.name, "plain")
+        await trio.sleep(2.0)
+        begin = trio.current_time()
+        limited, falling, refusing, leaving, _, _ = self.upstreams
+        draw = self._rng.uniform
+        for each in (limited, falling):
+            each.limit = self._rng.choice([0.5, 1.0, 3.0, 8.0])
+            each.limited_at = begin + draw(0.0, 10.0)
+        falling.free_at = falling.limited_at + draw(8.0, 20.0)
+        refusing.refuses = begin + draw(0.0, 5.0), begin + draw(10.0, SECONDS)
+        refusing.retry_after = self._rng.choice([0.7, 1.5, 3.0, 6.0])
+        leaving.leaves_at = begin + draw(0.0, 20.0)
+
+    async def run(self) -> None:
+        """Send the load while troubles come."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._make_trouble)
+            with trio.move_on_after(SECONDS):
+                async with trio.open_nursery() as callers:
+                    while True:
+                        callers.start_soon(self._ask)
+                        await trio.sleep(self._rng.expovariate(REQUESTS_A_SECOND))
+            nursery.cancel_scope.cancel()
+
+    def check(self) -> None:
+        """Fail if something that an upstream has said wasn't kept."""
+        for upstream in self.upstreams:
+            upstream.check_limit(self.excused)
+            upstream.check_leaving(self.excused)
+            upstream.check_refusals(self.excused)
+
+    async def _ask(self) -> None:
+        name = self._rng.choice(sorted(self._world.entries))
+        relay = self._world.entries[name].relay
+        exchange = FakeExchange(request("/safe/1"), b"", trio.current_time())
+        with suppress(CallerGone):
+            await relay.handle(exchange)
+        self.statuses.append(exchange.status)
+
+    async def _make_trouble(self) -> None:
+        while True:
+            await trio.sleep(self._rng.uniform(1.0, 5.0))
+            await self._rng.choice(
+                [
+                    self._kill_entry,
+                    self._freeze_entry,
+                    self._cut_entry,
+                    self._kill_control,
+                    self._cut_controls,
+                ]
+            )()
+
+    async def _kill_entry(self) -> None:
+        name = self._draw_entry()
+        self._world.kill(name)
+        await trio.sleep(self._rng.uniform(0.1, 3.0))
+        await self._world.start_entry(name, SEEDS)
+        self._excuse(name)
+
+    async def _freeze_entry(self) -> None:
+        name = self._draw_entry()
+        self._world.timers[name].pause()
+        await trio.sleep(self._rng.uniform(0.1, 3.0))
+        self._world.timers[name].resume()
+        self._excuse(name)
+
+    async def _cut_entry(self) -> None:
+        name = self._draw_entry()
+        self._world.network.isolate(name)
+        await trio.sleep(self._rng.uniform(0.1, 5.0))
+        self._world.network.heal()
+        self._excuse(name)
+
+    async def _kill_control(self) -> None:
+        name = self._rng.choice(sorted(self._world.controls))
+        self._world.kill(name)
+        await trio.sleep(self._rng.uniform(0.1, 3.0))
+        await self._world.start_control(name, SEEDS, is_first=False, losses=2)
+
+    async def _cut_controls(self) -> None:
+        names = self._rng.sample(sorted(self._world.controls), CONTROLS)
+        for name in names[:2]:
+            self._world.cut_off(name, names[2:])
+        await trio.sleep(self._rng.uniform(0.5, 6.0))
+        self._world.network.heal()
+
+    def _draw_entry(self) -> str:
+        name = self._rng.choice(sorted(self._world.entries))
+        self._excuse(name)
+        return name
+
+    def _excuse(self, name: str) -> None:
+        self.excused.setdefault(name, []).append(trio.current_time())
+
+
+@pytest.mark.parametrize("seed", range(6))
+async def test_words_of_upstreams_are_kept_through_troubles(autojump_clock, seed):
+    async with open_world(CONTROLS, ENTRIES, seed, losses=2) as world:
+        day = Day(world, seed)
+        await day.prepare()
+        await day.run()
+        day.check()
+        assert day.statuses.count(200) >= 0.8 * len(day.statuses)
--- a/tests/relaying/world.py
+++ b/tests/relaying/world.py
@@ -157,7 +157,7 @@
             peers=FakePeers(name, self.network, timers, peers_nursery),
             rng=random.Random(self.rng.random()),
             decode=TableDecoder().decode_in_steps,
-            connector=self.connector,
+            connector=self.connector.for_host(name),
             wire=PlatformWire(),
             storage=storage,
         )
