A version whose upstreams are all left alone counts as one that has failed

Found by reading where candidates are drawn: while a roll-out runs, a request drawn for the new version is placed among its upstreams alone. Where these are all left alone, for want of a permit or by their own word, the request was refused although the other version had room. A selection that is all left alone is now drawn again as if its upstreams had failed, as for a request that one of them has failed; the new version's share can't grow by it.

Passing only the upstreams that aren't left alone to the selection was ruled out: with the known versions left alone, requests would go to one that no roll-out has told of yet.

--- a/src/pepperstep/relay/backoff.py
+++ b/src/pepperstep/relay/backoff.py
@@ -38,6 +38,8 @@
 
     def shortest(self, upstreams: Iterable[UpstreamKey]) -> float:
         """Return the seconds for which all are held, 0 if one isn't."""
+        if not self._until:
+            return 0.0
         now = self._now()
         waits = (self._until.get(upstream, 0.0) - now for upstream in upstreams)
         return max(0.0, min(waits, default=0.0))
--- a/src/pepperstep/relay/choice.py
+++ b/src/pepperstep/relay/choice.py
@@ -233,17 +233,29 @@
         self, service: Service, facts: RequestFacts, tried: Collection[UpstreamKey]
     ) -> list[Announcement]:
         """Return the upstreams that may get a request, without those that failed."""
-        usable = self._book.usable(service.name)
         candidates = [
             each
-            for each in self._versions.select(service.name, usable, facts, tried)
+            for each in self._select(service, facts, tried)
             if each.key not in tried
-            and not self._backoff.is_held(each.key)
             and self._pools.has_room(each.key, service.max_connections)
         ]
         healthy = [each for each in candidates if not self._is_paused(each.key)]
         return healthy or candidates
 
+    def _select(
+        self, service: Service, facts: RequestFacts, tried: Collection[UpstreamKey]
+    ) -> list[Announcement]:
+        """Return the upstreams that aren't left alone, of versions that may be used.
+
+        A version whose upstreams are all left alone counts as one that has failed.
+        """
+        usable = self._book.usable(service.name)
+        selected = self._versions.select(service.name, usable, facts, tried)
+        if selected and self._backoff.shortest(each.key for each in selected):
+            failed = {each.key for each in selected}
+            selected = self._versions.select(service.name, usable, facts, failed)
+        return [each for each in selected if not self._backoff.is_held(each.key)]
+
     async def _ask_others(
         self, candidates: list[Announcement], ranks: dict[str, int]
     ) -> dict[UpstreamKey, UpstreamWork]:
--- a/tests/relaying/test_retry_after.py
+++ b/tests/relaying/test_retry_after.py
@@ -8,6 +8,7 @@
 
 from pepperstep.fakes.relaying import Reply
 from pepperstep.ports.exchange import AnswerHead
+from pepperstep.rollouts import Rollout, RolloutState, VersionSplit
 from tests.relaying.world import open_world, request
 
 # Time after an answer in which a request may still follow, in seconds.
@@ -140,3 +141,31 @@
         begin = trio.current_time() + 5.0
         await ask(world, 10.0)
         assert refusing.between(begin, begin + 5.0) > 0
+
+
+async def test_requests_for_a_version_that_is_left_alone_go_to_the_other(
+    autojump_clock,
+):
+    old, new = Upstream(), Upstream(refuses=True)
+    async with serving(old, new, entries=1) as world:
+        await world.announce("c0:1", "plain1", "plain", sequence=2, software="v2")
+        await trio.sleep(1.0)
+        host = world.entries["e0:1"]
+        judged = VersionSplit(trio.current_time, lambda rollout: True)
+        judged.take(
+            Rollout(
+                service="plain",
+                to="v2",
+                number=1,
+                duration=60.0,
+                started_at=0.0,
+                changed_at=0.0,
+                index=1,
+                share=1.0,
+                state=RolloutState.RUNNING,
+            )
+        )
+        host._chooser._versions = judged
+        got = statuses(await ask(world, 9.0))
+        assert set(got) == {200}
+        assert new.arrivals
