Permits ask one keeper by name; tests of upstreams' words share their world

The granting host was looked up twice for each permit, and three test files each built the same world.

--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -52,8 +52,8 @@
         8,
         "one host grants the permits of a stated limit for all",
         "relay/permits.py",
-        "        keeper = self._keepers.keeper_of(name)\n",
-        "        keeper = self._keepers.own_name\n",
+        '        asked = self._keepers.keeper_of(upstream[0]) or ""\n',
+        "        asked = self._keepers.own_name\n",
         (
             f"{_LIMITS}test_all_hosts_together_keep_an_upstreams_stated_limit"
             "[7-1.0-/safe/1]",
--- a/src/pepperstep/coordination/upstream_book.py
+++ b/src/pepperstep/coordination/upstream_book.py
@@ -20,11 +20,7 @@
 import trio
 from absl import logging
 
-from pepperstep.coordination.records import (
-    Announcement,
-    StatedLimit,
-    UpstreamKey,
-)
+from pepperstep.coordination.records import Announcement, StatedLimit, UpstreamKey
 from pepperstep.observability.decisions import UpstreamLimit, UpstreamState
 
 __all__ = ["UpstreamBook"]
--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -7,11 +7,7 @@
 import trio
 from absl import logging
 
-from pepperstep.coordination import (
-    Announcement,
-    UpstreamBook,
-    UpstreamKey,
-)
+from pepperstep.coordination import Announcement, UpstreamBook, UpstreamKey
 from pepperstep.entities.routes import Route, Service, Workspace
 from pepperstep.ports import Timers
 from pepperstep.ports.exchange import (
--- a/src/pepperstep/relay/permits.py
+++ b/src/pepperstep/relay/permits.py
@@ -86,10 +86,11 @@
         limit = self._book.limit_of(upstream)
         if limit is None:
             return True
-        wait = await self._claim(upstream, limit)
         asked = self._keepers.keeper_of(upstream[0]) or ""
+        wait = await self._claim(upstream, limit, asked) if asked else None
         if wait is None:
-            wait, asked = self._take_share(upstream, limit), ""
+            asked = ""
+            wait = self._take_share(upstream, limit)
         else:
             self._shares.pop(upstream, None)
         if wait <= 0:
@@ -107,19 +108,17 @@
         """Drop what nobody has asked for lately."""
         oldest = self._now() - _IDLE_SECONDS
         for buckets in (self._granted, self._shares):
-            for upstream in [
-                each for each, bucket in buckets.items() if bucket.used_at < oldest
-            ]:
+            idle = [key for key, each in buckets.items() if each.used_at < oldest]
+            for upstream in idle:
                 del buckets[upstream]
 
-    async def _claim(self, upstream: UpstreamKey, limit: StatedLimit) -> float | None:
+    async def _claim(
+        self, upstream: UpstreamKey, limit: StatedLimit, keeper: str
+    ) -> float | None:
         """Return 0 for a permit or the seconds to wait, None without an answer."""
-        name, incarnation = upstream
-        keeper = self._keepers.keeper_of(name)
-        if keeper is None:
-            return None
         if keeper == self._keepers.own_name:
             return self._grant(upstream, limit)
+        name, incarnation = upstream
         message = pb.PermitClaim(
             upstream=name,
             incarnation=incarnation,
--- a/src/pepperstep/relay/signals.py
+++ b/src/pepperstep/relay/signals.py
@@ -62,7 +62,7 @@
         if facts.is_leaving and self._book.note_leaving(upstream.key):
             self._log_leaving(upstream, facts)
             self._tell_soon(upstream.key)
-        if self._says_nothing(upstream.key, status, facts, begun_at):
+        if self._states_no_limit(upstream.key, status, facts, begun_at):
             return
         limit = StatedLimit(facts.rate_limit, self._timers.now())
         if self._book.note_limit(upstream.key, limit):
@@ -91,10 +91,10 @@
         self._news.add(upstream)
         self._has_news.set()
 
-    def _says_nothing(
+    def _states_no_limit(
         self, upstream: UpstreamKey, status: int, facts: AnswerFacts, begun_at: float
     ) -> bool:
-        """Whether an answer tells nothing of the upstream's limit.
+        """Whether an answer says nothing of a limit, neither one nor its end.
 
         Only a success without a limit says that it has ended, and only to a request
         sent after it was stated: answers overtake each other.
--- a/tests/relaying/test_leaving_upstreams.py
+++ b/tests/relaying/test_leaving_upstreams.py
@@ -1,6 +1,5 @@
 """Upstreams that say in their answers that they leave."""
 
-from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 import pytest
@@ -8,7 +7,8 @@
 
 from pepperstep.fakes.relaying import Reply
 from pepperstep.ports.exchange import AnswerHead
-from tests.relaying.world import open_world, request
+from tests.relaying.upstreams import serving
+from tests.relaying.world import request
 
 # Time after an answer that says so in which a request may still follow, in seconds.
 NOTICE = 2.0
@@ -38,19 +38,6 @@
         return sum(each >= begin for each in self.arrivals)
 
 
-@asynccontextmanager
-async def serving(*upstreams: Upstream, controls: int = 3, entries: int = 5):
-    """Give a world in which upstreams of both services are known to all hosts."""
-    async with open_world(controls=controls, entries=entries) as world:
-        for number, upstream in enumerate(upstreams):
-            for service in ("plain", "model"):
-                name = f"{service}{number}"
-                world.connector.scripts[f"{name}:80"] = upstream.answer
-                await world.announce("c0:1", name, service)
-        await trio.sleep(2.0)
-        yield world
-
-
 async def ask_all(world, seconds: float, path: str = "/safe/1") -> list[int]:
     """Send requests to all entry hosts in turn, and return what callers got."""
     statuses = []
@@ -68,7 +55,7 @@
     autojump_clock, path
 ):
     leaving = Upstream(LEAVES_AT)
-    async with serving(leaving, Upstream()) as world:
+    async with serving([leaving, Upstream()]) as world:
         await trio.sleep_until(LEAVES_AT)
         statuses = await ask_all(world, 10.0, path)
         assert leaving.since(LEAVES_AT) > 0
@@ -78,7 +65,7 @@
 
 async def test_one_hosts_answer_tells_all_hosts(autojump_clock):
     leaving = Upstream(LEAVES_AT)
-    async with serving(leaving, Upstream()) as world:
+    async with serving([leaving, Upstream()]) as world:
         await trio.sleep_until(LEAVES_AT)
         while not leaving.since(LEAVES_AT):
             await world.ask("e0:1", request("/safe/1"))
@@ -92,7 +79,7 @@
     autojump_clock,
 ):
     leaving = Upstream(LEAVES_AT)
-    async with serving(leaving, Upstream(), entries=1) as world:
+    async with serving([leaving, Upstream()], entries=1) as world:
         world.cut_off("e0:1")
         await trio.sleep_until(LEAVES_AT)
         statuses = await ask_all(world, 10.0)
@@ -105,7 +92,7 @@
 ):
     """The control hosts that miss its word hear on of the upstream as working."""
     leaving = Upstream(LEAVES_AT)
-    async with serving(leaving, Upstream(), controls=5) as world:
+    async with serving([leaving, Upstream()], controls=5) as world:
         for name in ("c0:1", "c1:1"):
             world.cut_off(name, ("c2:1", "c3:1", "c4:1"))
         await trio.sleep_until(LEAVES_AT)
@@ -118,7 +105,7 @@
 
 async def test_last_upstream_that_leaves_gets_nothing_more(autojump_clock):
     leaving = Upstream(LEAVES_AT)
-    async with serving(leaving) as world:
+    async with serving([leaving]) as world:
         await trio.sleep_until(LEAVES_AT)
         statuses = await ask_all(world, 5.0)
         assert leaving.since(LEAVES_AT + NOTICE) == 0
@@ -127,7 +114,7 @@
 
 async def test_refusal_that_says_that_its_upstream_leaves_counts(autojump_clock):
     leaving = Upstream(LEAVES_AT, status=503)
-    async with serving(leaving, Upstream()) as world:
+    async with serving([leaving, Upstream()]) as world:
         await trio.sleep_until(LEAVES_AT)
         await ask_all(world, 5.0)
         assert leaving.since(LEAVES_AT + NOTICE) == 0
@@ -135,7 +122,7 @@
 
 async def test_next_start_of_an_upstream_that_left_is_used(autojump_clock):
     leaving = Upstream(LEAVES_AT)
-    async with serving(leaving, Upstream()) as world:
+    async with serving([leaving, Upstream()]) as world:
         await trio.sleep_until(LEAVES_AT)
         await ask_all(world, 2.0)
         leaving.leaves_at = float("inf")
@@ -157,7 +144,7 @@
             (b"server-leaving", b"1"),
         ),
     )
-    async with serving(Upstream(), entries=1) as world:
+    async with serving([Upstream()], entries=1) as world:
         world.connector.scripts["plain0:80"] = lambda sent: Reply(head)
         await world.ask("e0:1", request("/safe/1"))
         assert not world.entries["e0:1"].book.get("plain0").is_leaving
--- a/tests/relaying/test_retry_after.py
+++ b/tests/relaying/test_retry_after.py
@@ -1,6 +1,5 @@
 """Upstreams that turn requests away and say for how long they want none."""
 
-from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 import pytest
@@ -9,7 +8,8 @@
 from pepperstep.fakes.relaying import Reply
 from pepperstep.ports.exchange import AnswerHead
 from pepperstep.rollouts import Rollout, RolloutState, VersionSplit
-from tests.relaying.world import open_world, request
+from tests.relaying.upstreams import serving
+from tests.relaying.world import request
 
 # Time after an answer in which a request may still follow, in seconds.
 NOTICE = 0.5
@@ -44,19 +44,6 @@
         return sum(begin <= each < end for each in self.arrivals)
 
 
-@asynccontextmanager
-async def serving(*upstreams: Upstream, entries: int = 1):
-    """Give a world in which upstreams of both services are known to all hosts."""
-    async with open_world(entries=entries) as world:
-        for number, upstream in enumerate(upstreams):
-            for service in ("plain", "model"):
-                name = f"{service}{number}"
-                world.connector.scripts[f"{name}:80"] = upstream.answer
-                await world.announce("c0:1", name, service)
-        await trio.sleep(2.0)
-        yield world
-
-
 async def ask(world, seconds: float, path: str = "/safe/1", pause: float = 0.05):
     """Send requests to all entry hosts in turn, and return what callers got."""
     exchanges = []
@@ -79,7 +66,7 @@
     autojump_clock, path, says_not_run
 ):
     refusing = Upstream(refuses=True, says_not_run=says_not_run)
-    async with serving(refusing, Upstream()) as world:
+    async with serving([refusing, Upstream()], 1) as world:
         await ask(world, 9.0, path)
         assert refusing.arrivals
         for answered_at in refusing.arrivals:
@@ -89,7 +76,7 @@
 
 async def test_upstream_is_used_again_when_its_time_is_over(autojump_clock):
     refusing = Upstream(refuses=True, retry_after=2.0)
-    async with serving(refusing, Upstream()) as world:
+    async with serving([refusing, Upstream()], 1) as world:
         await ask(world, 1.0)
         assert refusing.arrivals
         refusing.refuses = False
@@ -102,7 +89,7 @@
     autojump_clock,
 ):
     early, late = Upstream(True, retry_after=1.0), Upstream(True, retry_after=1.8)
-    async with serving(early, late) as world:
+    async with serving([early, late], 1) as world:
         await ask(world, 0.3)
         [exchange] = await ask(world, 0.01)
         assert exchange.status == 503
@@ -115,7 +102,7 @@
 async def test_callers_are_refused_at_once_while_no_upstream_wants_anything(
     autojump_clock,
 ):
-    async with serving(Upstream(True), Upstream(True)) as world:
+    async with serving([Upstream(True), Upstream(True)], 1) as world:
         await ask(world, 0.5)
         begun = trio.current_time()
         assert (await world.ask("e0:1", request("/safe/1"))).status == 503
@@ -127,7 +114,7 @@
 ):
     """Most attempts would meet no free one by chance within the retry budget."""
     refusing = Upstream(refuses=True)
-    async with serving(refusing, Upstream(), Upstream(), entries=5) as world:
+    async with serving([refusing, Upstream(), Upstream()], 5) as world:
         got = statuses(await ask(world, 9.0, pause=0.03))
         assert len(got) >= 250
         assert set(got) == {200}
@@ -135,7 +122,7 @@
 
 async def test_time_that_is_no_number_holds_nothing(autojump_clock):
     refusing = Upstream(refuses=True, retry_after=float("inf"))
-    async with serving(refusing, Upstream()) as world:
+    async with serving([refusing, Upstream()], 1) as world:
         await ask(world, 2.0)
         refusing.refuses = False
         begin = trio.current_time() + 5.0
@@ -147,7 +134,7 @@
     autojump_clock,
 ):
     old, new = Upstream(), Upstream(refuses=True)
-    async with serving(old, new, entries=1) as world:
+    async with serving([old, new], 1) as world:
         await world.announce("c0:1", "plain1", "plain", sequence=2, software="v2")
         await trio.sleep(1.0)
         host = world.entries["e0:1"]
--- a/tests/relaying/test_stated_limits.py
+++ b/tests/relaying/test_stated_limits.py
@@ -1,7 +1,6 @@
 """Upstreams that state in their answers how many requests a second they take."""
 
 from collections.abc import Callable
-from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 import pytest
@@ -11,7 +10,8 @@
 from pepperstep.fakes.relaying import Reply
 from pepperstep.observability.decisions import UpstreamHeld
 from pepperstep.ports.exchange import AnswerHead
-from tests.relaying.world import open_world, request
+from tests.relaying.upstreams import serving
+from tests.relaying.world import request
 
 # Time from which a limit binds once it was first stated, in seconds.
 SETTLING = 3.0
@@ -54,18 +54,6 @@
     return 1.5 * limit * WINDOW + 5
 
 
-@asynccontextmanager
-async def serving(upstreams: list[Upstream], hosts: int, service: str = "plain"):
-    """Give a world in which upstreams of a service are known to all entry hosts."""
-    async with open_world(entries=hosts) as world:
-        for number, upstream in enumerate(upstreams):
-            name = f"u{number}"
-            world.connector.scripts[f"{name}:80"] = upstream.answer
-            await world.announce("c0:1", name, service)
-        await trio.sleep(3.0)
-        yield world
-
-
 def granting_host(world, upstream: str) -> str:
     """Return the host that grants an upstream's permits."""
     entry = world.entries["e0:1"]
@@ -123,8 +111,7 @@
 ):
     limited = Upstream(lambda now: limit)
     others = [Upstream(), Upstream()]
-    service = "model" if path.startswith("/stream") else "plain"
-    async with serving([limited, *others], hosts, service) as world:
+    async with serving([limited, *others], hosts) as world:
         load = Load(world, path)
         begin = trio.current_time()
         await load.run(20.0)
@@ -156,9 +143,9 @@
     monkeypatch.setattr(logging, "info", keep)
     async with serving([Upstream(lambda now: 1.0), Upstream()], 3) as world:
         await Load(world).run(3.0)
-        keeper = granting_host(world, "u0")
+        keeper = granting_host(world, "plain0")
     held = [each for each in events if isinstance(each, UpstreamHeld)]
-    assert {each.upstream for each in held} == {"u0"}
+    assert {each.upstream for each in held} == {"plain0"}
     assert {each.asked for each in held} == {keeper}
     assert all(each.for_ms > 0 for each in held)
 
@@ -220,7 +207,7 @@
             begin = trio.current_time()
             nursery.start_soon(load.run, 25.0)
             await trio.sleep(8.0)
-            lose(world, granting_host(world, "u0"), trouble)
+            lose(world, granting_host(world, "plain0"), trouble)
         assert limited.most_in_window(begin + SETTLING) <= allowed(1.0)
         assert limited.rate(begin + 15.0, begin + 25.0) >= 0.5
 
@@ -253,5 +240,5 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(Load(world).run, 15.0)
             await trio.sleep_until(20.0)
-            await world.announce("c1:1", "u0", "plain", incarnation=7)
+            await world.announce("c1:1", "plain0", "plain", incarnation=7)
         assert restarted.rate(20.5, 25.0) >= 15.0
--- /dev/null
+++ b/tests/relaying/upstreams.py
@@ -0,0 +1,42 @@
+"""Upstreams of a world that answer by scripts of their own."""
+
+from collections.abc import Sequence
+from contextlib import asynccontextmanager
+from typing import Protocol
+
+import trio
+
+from pepperstep.fakes.relaying import Reply, Sent
+from tests.relaying.world import open_world
+
+__all__ = ["SERVICES", "Answering", "serving"]
+
+SERVICES = ("plain", "model")
+
+
+class Answering(Protocol):
+    """What answers requests."""
+
+    def answer(self, sent: Sent) -> Reply:
+        """Return the answer to a request."""
+
+
+@asynccontextmanager
+async def serving(
+    upstreams: Sequence[Answering],
+    entries: int = 5,
+    controls: int = 3,
+    services: Sequence[str] = SERVICES,
+):
+    """Give a world in which all hosts know the upstreams, one of each service for each.
+
+    They are named by their service and number, as `plain0`.
+    """
+    async with open_world(controls=controls, entries=entries) as world:
+        for number, upstream in enumerate(upstreams):
+            for service in services:
+                name = f"{service}{number}"
+                world.connector.scripts[f"{name}:80"] = upstream.answer
+                await world.announce("c0:1", name, service)
+        await trio.sleep(3.0)
+        yield world
