--- a/measure/engines.py
+++ b/measure/engines.py
@@ -5,7 +5,7 @@
 import trio
 
 from measure.accounts import Ledger
-from measure.routing import BatchEngine
+from measure.routing_site import BatchEngine
 from pepperstep.entities import Upstream
 from pepperstep.fakes import FakeUpstreams
 from pepperstep.ports.upstreams import CacheExport
--- a/measure/routing_cost.py
+++ b/measure/routing_cost.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from measure.routing import KEY
+from measure.routing_site import KEY
 from pepperstep.entities import (
     Load,
     ModelKey,
