A safe request turned away by one upstream is served by a free one, by real daemons

Three upstreams of which one turns all away with a time to come back, a route with three attempts, two entry hosts and ten callers for 8 s: every caller is served, and the one that refuses gets at most a few from each host within its time.

--- a/tests/wire/test_signals.py
+++ b/tests/wire/test_signals.py
@@ -4,7 +4,7 @@
 
 from pepperstep.ports.exchange import Answer, Exchange
 from standins.platform_site import Site, StandInUpstream
-from tests.wire.test_wire import KEY, open_all
+from tests.wire.test_wire import KEY, open_all, table
 
 CALLERS = 10
 PAUSE_SECONDS = 0.05
@@ -96,10 +96,16 @@
 async def test_upstream_that_wants_nothing_for_a_while_gets_nothing(tmp_path):
     async with Site.open(tmp_path) as site:
         await open_all(site)
+        await site.upstream("u3", "plain", 11)
+        route = {"name": "once", "host": "a.example", "path_prefix": "/once/"}
+        route |= {"timeout_ms": 9000, "service": "plain"}
+        route |= {"kind": "safe", "max_attempts": 3}
+        await site.operate(b"POST", "/-/Config.Replace", table(8, routes=[route]))
         refusing = await site.upstream("u2", "plain", 10, SpeakingUpstream)
         refusing.refuses = True
-        await call(site, 8.0)
+        statuses = await call(site, 8.0)
         assert refusing.times
+        assert set(statuses) == {200}
         # Each of the two hosts may send two in the time, and one that begins it.
         for first in refusing.times:
             begin, end = first + NOTICE, first + RETRY_AFTER
