A line says who knows of a leaving when it's acknowledged

Of the hypotheses on DRAIN the lines told none apart: no control host logged that it acknowledges that an upstream leaves, whether it had known before, nor which other control hosts had taken it in. leaving_acknowledged does; decisions are unchanged.

--- a/src/pepperstep/coordination/control_desk.py
+++ b/src/pepperstep/coordination/control_desk.py
@@ -18,6 +18,7 @@
 from pepperstep.coordination.upstream_book import UpstreamBook
 from pepperstep.entities.routes import RouteTable
 from pepperstep.errors import Code, Failure
+from pepperstep.observability.decisions import LeavingAcknowledged
 from pepperstep.ports import PeerNetwork, Timers
 from pepperstep.proto import coordination_pb2 as pb
 from pepperstep.proto.rollouts_pb2 import RolloutRecord
@@ -104,13 +105,17 @@
         with `INVALID_REQUEST` for what can't be an upstream's own words.
         """
         self._check(announcement)
+        arrived_at = self._timers.now()
         before = self._book.get(announcement.id)
         self._book.note(announcement)
         now = self._book.get(announcement.id)
-        if not now.takes_work and (before is None or now != before):
-            is_news = before is None or before.takes_work or now.key != before.key
-            if is_news:
-                await self._tell_leaving(now)
+        if now.takes_work:
+            return
+        known_by: list[str] = []
+        is_news = before is None or before.takes_work or now.key != before.key
+        if is_news:
+            known_by = await self._tell_leaving(now)
+        self._log_acknowledged(now, not is_news, known_by, arrived_at)
 
     def _check(self, announcement: Announcement) -> None:
         """Raise `Failure` for an announcement that another writer must have made."""
@@ -123,25 +128,47 @@
             text = f"There is no service {announcement.service!r}."
             raise Failure(Code.INVALID_REQUEST, text)
 
-    async def _tell_leaving(self, upstream: Announcement) -> None:
+    async def _tell_leaving(self, upstream: Announcement) -> list[str]:
         logging.info(
             "desk: Upstream %s of %s leaves, by its announcement %d.",
             upstream.id,
             upstream.service,
             upstream.sequence,
         )
-        await self._tell_others(upstream)
+        return await self._tell_others(upstream)
+
+    def _log_acknowledged(
+        self,
+        upstream: Announcement,
+        is_repeat: bool,
+        known_by: list[str],
+        arrived_at: float,
+    ) -> None:
+        event = LeavingAcknowledged(
+            upstream=upstream.id,
+            incarnation=upstream.incarnation,
+            service=upstream.service,
+            is_gone=upstream.is_gone,
+            is_repeat=is_repeat,
+            known_by=known_by,
+            after_ms=round(1000 * (self._timers.now() - arrived_at)),
+        )
+        logging.info("desk: %s", event)
 
     async def note_gone(self, upstream: str, incarnation: int | None = None) -> None:
         """Take in that an upstream ends; raise as `note_announcement` does.
 
         Without an incarnation, it's the latest that is known.
         """
+        arrived_at = self._timers.now()
         known = self._book.get(upstream)
         if known is not None and known.is_gone:
+            self._log_acknowledged(known, True, [], arrived_at)
             return
         self._book.note_gone(upstream, incarnation)
-        await self._tell_others(self._book.get(upstream))
+        gone = self._book.get(upstream)
+        known_by = await self._tell_others(gone)
+        self._log_acknowledged(gone, False, known_by, arrived_at)
 
     def absorb(self, control_host: str, reply: pb.SyncReply, age: float) -> None:
         """Take in another control host's answer that is `age` seconds old."""
@@ -152,11 +179,13 @@
                 key = (message.id, message.incarnation)
                 self._book.note_silent(key, age + message.age, control_host)
 
-    async def _tell_others(self, announcement: Announcement) -> None:
+    async def _tell_others(self, announcement: Announcement) -> list[str]:
+        """Return the control hosts that have taken it in by then, one at least."""
         others = [each for each in self._control_hosts() if each != self._name]
         if not others:
-            return
+            return []
         heard = trio.Event()
+        known_by: list[str] = []
         notice = pb.UpstreamNotice(upstream=announcement.to_message())
 
         async def tell(other: str) -> None:
@@ -165,6 +194,7 @@
             except Failure as failure:
                 logging.info("desk: %s misses a notice: %s", other, failure.text)
             else:
+                known_by.append(other)
                 heard.set()
 
         async with trio.open_nursery() as nursery:
@@ -176,6 +206,7 @@
                 nursery.cancel_scope.cancel()
         if not heard.is_set():
             raise Failure(Code.NO_QUORUM, "No other control host has taken it in.")
+        return known_by
 
     async def _on_notice(
         self, message: pb.UpstreamNotice, sender: str
--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -10,6 +10,7 @@
     "Decision",
     "DutyTaken",
     "EntryContact",
+    "LeavingAcknowledged",
     "QuotaExceeded",
     "RequestChosen",
     "RequestEnded",
@@ -169,6 +170,21 @@
     upstreams_version: int
 
 
+class LeavingAcknowledged(Decision, tag="leaving_acknowledged"):
+    """A control host is about to acknowledge that an upstream leaves or ends."""
+
+    upstream: str
+    incarnation: int
+    service: str
+    is_gone: bool
+    # Whether this host had known it before.
+    is_repeat: bool
+    # Control hosts that have taken it in by now.
+    known_by: list[str]
+    # Since the announcement has arrived.
+    after_ms: int
+
+
 class UpstreamLimit(Decision, tag="upstream_limit"):
     """The rate limit that an upstream states has changed, as this host knows it.
 
--- a/tests/relaying/test_sight.py
+++ b/tests/relaying/test_sight.py
@@ -6,6 +6,7 @@
 
 from pepperstep.fakes.relaying import Reply
 from pepperstep.observability.decisions import (
+    LeavingAcknowledged,
     RequestRefused,
     UpstreamLeaving,
     UpstreamLimit,
@@ -141,3 +142,23 @@
     [line] = [each for each in events if isinstance(each, UpstreamLeaving)]
     assert (line.request, line.upstream) == ("id-1", "u1")
     assert ("working", "leaving", "answer") in states(events)
+
+
+async def test_line_says_who_knows_of_a_leaving_that_is_acknowledged(
+    autojump_clock, events
+):
+    async with open_world() as world:
+        await world.announce("c0:1", "u1", "plain")
+        await trio.sleep(1.0)
+        for sequence in (2, 3):
+            await world.announce(
+                "c0:1", "u1", "plain", sequence=sequence, is_leaving=True
+            )
+        await world.controls["c1:1"].note_gone("u1")
+    first, repeat, end = (
+        each for each in events if isinstance(each, LeavingAcknowledged)
+    )
+    assert (first.upstream, first.is_gone, first.is_repeat) == ("u1", False, False)
+    assert set(first.known_by) & {"c1:1", "c2:1"}
+    assert (repeat.is_gone, repeat.is_repeat) == (False, True)
+    assert (end.is_gone, end.is_repeat) == (True, False)
