A line says what a retry was granted or denied by

Of the hypotheses on BUDGET the lines told none apart: attempt_failed says that there was no budget, but nothing says by how many hosts a host divides what all may send, nor how many requests and retries it remembers. retry_asked does; decisions are unchanged.

--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -359,7 +359,7 @@
         8,
         "retries draw on a budget",
         "relay/relay.py",
-        "if attempt.sent and not self._budget.take(service.name):",
+        "if attempt.sent and not self._take_retry(attempt):",
         "if False:",
         (f"{_RELAY}test_retries_stop_with_their_budget",),
     ),
--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -16,6 +16,7 @@
     "RequestEnded",
     "RequestFailed",
     "RequestRefused",
+    "RetryAsked",
     "RolloutMoved",
     "TableInForce",
     "UpstreamHeld",
@@ -63,6 +64,23 @@
     after_ms: int
 
 
+class RetryAsked(Decision, tag="retry_asked"):
+    """A request asked its host's retry budget for another attempt.
+
+    Requests and retries are those of the service in the budget's window.
+    """
+
+    request: str
+    service: str
+    is_granted: bool
+    requests: int
+    retries: int
+    # Retries that this host may send in a window besides its share of the requests,
+    # and the number of hosts that it divides what all may send by.
+    own_allowance: float
+    hosts: int
+
+
 class RequestRefused(Decision, tag="request_refused"):
     """A request ended by this system's own answer."""
 
--- a/src/pepperstep/relay/budget.py
+++ b/src/pepperstep/relay/budget.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-__all__ = ["BudgetSettings", "RetryBudget"]
+__all__ = ["BudgetSettings", "BudgetState", "RetryBudget"]
 
 # Part of what is allowed that hosts use. The rest covers hosts that start
 # again with an empty memory, and requests that arrive at a window's edge.
@@ -28,6 +28,19 @@
     allowance: float
 
 
+@dataclass(frozen=True, slots=True)
+class BudgetState:
+    """What a service's retries are decided by."""
+
+    # Of this host in the latest window.
+    requests: int
+    retries: int
+    # Retries that this host may send in a window besides its share of the requests.
+    own_allowance: float
+    # Hosts that the allowance is divided by.
+    hosts: int
+
+
 @dataclass(slots=True)
 class _Service:
     firsts: deque[float] = field(default_factory=deque)
@@ -54,14 +67,22 @@
 
     def take(self, service: str) -> bool:
         """Count a retry and return True, or return False if there is no budget."""
-        counts = self._counts(service)
-        part = self._settings.allowance / max(1, self._host_count())
-        allowed = _USED_SHARE * (self._settings.ratio * len(counts.firsts) + part)
-        if len(counts.retries) + 1 > allowed:
+        state = self.state_of(service)
+        earned = _USED_SHARE * self._settings.ratio * state.requests
+        if state.retries + 1 > earned + state.own_allowance:
             return False
-        counts.retries.append(self._now())
+        self._counts(service).retries.append(self._now())
         return True
 
+    def state_of(self, service: str) -> BudgetState:
+        """Return what the next retry of a service is decided by."""
+        counts = self._counts(service)
+        hosts = max(1, self._host_count())
+        own_allowance = _USED_SHARE * self._settings.allowance / hosts
+        return BudgetState(
+            len(counts.firsts), len(counts.retries), own_allowance, hosts
+        )
+
     def _counts(self, service: str) -> _Service:
         counts = self._services.setdefault(service, _Service())
         limit = self._now() - self._settings.window
--- a/src/pepperstep/relay/journal.py
+++ b/src/pepperstep/relay/journal.py
@@ -10,11 +10,13 @@
     RequestEnded,
     RequestFailed,
     RequestRefused,
+    RetryAsked,
 )
 from pepperstep.observability.relay_metrics import RelayMetrics
 from pepperstep.ports import Timers
 from pepperstep.ports.exchange import Exchange, RequestHead
 from pepperstep.relay.attempt import Attempt
+from pepperstep.relay.budget import BudgetState
 from pepperstep.relay.choice import Choice
 from pepperstep.relay.quotas import Admission, QuotaState
 
@@ -71,6 +73,21 @@
         )
         logging.info("relay: %s", event)
 
+    def note_retry(
+        self, attempt: Attempt, state: BudgetState, is_granted: bool
+    ) -> None:
+        """Note what a retry was granted or denied by."""
+        event = RetryAsked(
+            request=attempt.name,
+            service=attempt.service.name,
+            is_granted=is_granted,
+            requests=state.requests,
+            retries=state.retries,
+            own_allowance=round(state.own_allowance, 1),
+            hosts=state.hosts,
+        )
+        logging.info("relay: %s", event)
+
     def note_answered(self, attempt: Attempt) -> None:
         """Note a request with an upstream's answer."""
         now = self._timers.now()
--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -210,7 +210,7 @@
             if not attempt.sent:
                 self._chooser.note_demand(choice)
                 self._check_load(attempt, choice)
-            if attempt.sent and not self._budget.take(service.name):
+            if attempt.sent and not self._take_retry(attempt):
                 attempt.note_failed(choice.upstream.id, "no retry budget")
                 break
             self._journal.note_chosen(attempt, choice)
@@ -221,6 +221,14 @@
                 break
         await self._end(attempt)
 
+    def _take_retry(self, attempt: Attempt) -> bool:
+        """Take a retry off the budget, or return False if there is none."""
+        service = attempt.service.name
+        state = self._budget.state_of(service)
+        is_granted = self._budget.take(service)
+        self._journal.note_retry(attempt, state, is_granted)
+        return is_granted
+
     def _hold(self, attempt: Attempt) -> float:
         """Return the seconds for which all upstreams are left alone, 0 if one isn't."""
         return self._chooser.shortest_hold(attempt.service)
--- a/tests/relaying/test_sight.py
+++ b/tests/relaying/test_sight.py
@@ -8,6 +8,7 @@
 from pepperstep.observability.decisions import (
     LeavingAcknowledged,
     RequestRefused,
+    RetryAsked,
     UpstreamLeaving,
     UpstreamLimit,
     UpstreamState,
@@ -162,3 +163,15 @@
     assert set(first.known_by) & {"c1:1", "c2:1"}
     assert (repeat.is_gone, repeat.is_repeat) == (False, True)
     assert (end.is_gone, end.is_repeat) == (True, False)
+
+
+async def test_line_says_what_a_retry_was_decided_by(autojump_clock, events):
+    async with open_world(entries=2) as world:
+        for name in ("u1", "u2"):
+            await world.announce("c0:1", name, "plain")
+            world.connector.scripts[f"{name}:80"] = lambda sent: Reply(breaks=True)
+        await trio.sleep(1.0)
+        await world.ask("e0:1", request("/safe/1"))
+    [asked] = [each for each in events if isinstance(each, RetryAsked)]
+    assert (asked.request, asked.service, asked.is_granted) == ("id-1", "plain", True)
+    assert (asked.requests, asked.retries, asked.hosts) == (1, 0, 2)
