--- a/tests/relaying/world.py
+++ b/tests/relaying/world.py
@@ -15,7 +15,12 @@
 from pepperstep.programs.control_host import ControlHost
 from pepperstep.programs.entry_host import EntryHost
 from pepperstep.programs.relay_ports import RelayPorts
-from pepperstep.programs.relay_settings import ControlRole, EntryRole, RelaySettings
+from pepperstep.programs.relay_settings import (
+    ControlRole,
+    EntryRole,
+    RelayBounds,
+    RelaySettings,
+)
 
 KEY = "key-of-desk"
 
@@ -62,8 +67,11 @@
 class World:
     """Hosts by name; each life of a host runs in a nursery of its own."""
 
-    def __init__(self, nursery: trio.Nursery, seed: int = 0):
+    def __init__(
+        self, nursery: trio.Nursery, seed: int = 0, bounds: RelayBounds | None = None
+    ):
         self.rng = random.Random(seed)
+        self.bounds = bounds or RelayBounds()
         self.network = FakeNetwork(self.rng)
         self.connector = FakeConnector()
         self.disks: dict[str, FakeDisk] = {}
@@ -81,7 +89,9 @@
         role = ControlRole(
             "10.0.0.1:1", "data", forms_group=is_first, tolerated_losses=losses
         )
-        settings = RelaySettings(name, "z1", "r1", name, seeds, control=role)
+        settings = RelaySettings(
+            name, "z1", "r1", name, seeds, control=role, bounds=self.bounds
+        )
         host = await self._start(
             name, lambda ports: ControlHost(settings, ports), storage=disk
         )
@@ -93,7 +103,9 @@
     ) -> EntryHost:
         """Start an entry host, whose Unix time may be off."""
         role = EntryRole(f"{name}:callers")
-        settings = RelaySettings(name, "z1", "r1", name, seeds, entry=role)
+        settings = RelaySettings(
+            name, "z1", "r1", name, seeds, entry=role, bounds=self.bounds
+        )
         host = await self._start(
             name, lambda ports: EntryHost(settings, ports), wall_offset=wall_offset
         )
@@ -183,14 +195,18 @@
 
 @asynccontextmanager
 async def open_world(
-    controls: int = 3, entries: int = 2, seed: int = 0, losses: int = 1
+    controls: int = 3,
+    entries: int = 2,
+    seed: int = 0,
+    losses: int = 1,
+    bounds: RelayBounds | None = None,
 ):
     """Give a world whose hosts have started, with a first document in force.
 
     It has to bear the loss of so many control hosts with their disks.
     """
     async with trio.open_nursery() as nursery:
-        world = World(nursery, seed)
+        world = World(nursery, seed, bounds)
         names = [f"c{number}:1" for number in range(controls)]
         seeds = tuple(names[:3])
         for name in names:
