Quotas, permits and connections are divided by all hosts beside a cut, too

The same cause as of the retries' excess: what hosts divide by was the number told at the moment. Beside a control host that's cut off with one of four entry hosts, that one took four times its part of a quota after 15 s, by its line quota_exceeded: hosts 1 (test failed so before, 4 now). Now the highest number of a window that control hosts in contact have told counts; before any has, the one told at the moment.

--- a/src/pepperstep/programs/entry_host.py
+++ b/src/pepperstep/programs/entry_host.py
@@ -80,6 +80,7 @@
             self._report,
         )
         bounds = settings.bounds
+        self._share = HostShare(max(bounds.retry_window, bounds.quota_window), now)
         self._pools = Pools(ports.connector, self._host_count, now)
         tolerance = QuotaTolerance(bounds.quota_overage, bounds.quota_allowance)
         self._quotas = Quotas(
@@ -138,12 +139,11 @@
             self.versions,
             self._backoff,
         )
-        self._retry_share = HostShare(bounds.retry_window, now)
         budget = RetryBudget(
             BudgetSettings(
                 bounds.retry_ratio, bounds.retry_window, bounds.retry_allowance
             ),
-            self._retry_share,
+            self._share,
             now,
         )
         attempts = Attempts(
@@ -242,7 +242,9 @@
         return self.sync.silence < _CONTACT_SECONDS
 
     def _host_count(self) -> int:
-        return self.sync.entry_count
+        """Return the entry hosts that share, as one host cut off doesn't know them."""
+        share = self._share
+        return share.hosts if share.joins else self.sync.entry_count
 
     def _true_time(self) -> float:
         return self.sync.true_time
@@ -308,7 +310,7 @@
     def _note_reply(self, control_host: str, reply: pb.SyncReply, age: float) -> None:
         self._silence_votes.note_answer(control_host, reply)
         if reply.is_in_contact:
-            self._retry_share.note_told(self.sync.entry_count)
+            self._share.note_told(self.sync.entry_count)
         self._take_rollouts(reply)
 
     async def _tidy(self) -> None:
