An upstream's leaving is acknowledged once it binds all hosts

Cause: an acknowledgement promised for all hosts what a few of them knew, and kept in memory only. One other control host was enough, so a minority that was cut off could acknowledge what entry hosts beside the others never hear; a repeat was acknowledged though the first try had failed for lack of any other; a host without other members asked nobody; and what was gone was written nowhere, what leaves half a second later, so that hosts killed together came back without it. Of the class 'an acknowledgement by what one host remembers'.

Mend: most voters of the log have it on their disks, and all entry hosts that ask one of these have taken it in, by the version that their next question names, before the acknowledgement (coordination/departures.py, followers.py). Entry hosts ask most voters, so each asks one that knows. It's done again for each repeat. Without that in 0.85 s, the call is refused, and the upstream goes to the next host.

Ruled out: a commit of the log, which needs a leader, though nothing can contradict what an upstream says of itself. Ruled out: entry hosts that ask all control hosts, which doesn't help beside a restart.

--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -11,6 +11,10 @@
     "tests/relaying/test_retry_windows.py"
     "::test_hosts_that_forget_or_are_cut_off_send_no_allowance_twice"
 )
+_DEPARTURES = "tests/relaying/test_acknowledged_leaving.py::"
+_ACKNOWLEDGED = (
+    f"{_DEPARTURES}test_no_host_sends_to_an_upstream_whose_leaving_was_acknowledged"
+)
 _GROUP = "tests/relaying/test_group.py::"
 _LOST = "tests/relaying/test_lost_contact.py::"
 _ORDERING = "tests/relaying/test_ordering.py::"
@@ -153,11 +157,53 @@
     ),
     Mechanism(
         5,
-        "another control host knows of an upstream's leaving",
+        "most voters know of an upstream's leaving",
+        "coordination/departures.py",
+        "return 2 * len(voters.intersection(names)) > len(voters)",
+        "return bool(names)",
+        (f"{_ACKNOWLEDGED}[leaves-say_it_at_a_minority-12-5]",),
+    ),
+    Mechanism(
+        5,
+        "a repeat of an upstream's leaving is told again",
         "coordination/control_desk.py",
-        "            known_by = await self._tell_leaving(now)\n",
+        "        await self._acknowledge(now, is_news, arrived_at)\n",
+        "        is_news and await self._acknowledge(now, is_news, arrived_at)\n",
+        (f"{_ACKNOWLEDGED}[leaves-repeat_at_a_host_cut_off-5-3]",),
+    ),
+    Mechanism(
+        5,
+        "an upstream's leaving is on the disk",
+        "coordination/departures.py",
+        "            await self._store()\n",
         "            pass\n",
-        (f"{_COORDINATION}test_leaving_is_not_acknowledged_by_a_host_cut_off",),
+        (f"{_ACKNOWLEDGED}[leaves-kill_all_that_know-5-3]",),
+    ),
+    Mechanism(
+        5,
+        "an upstream's end outlives a restart",
+        "coordination/hints.py",
+        "return self._book.age(upstream.id) < _GONE_SECONDS",
+        "return False",
+        (f"{_DEPARTURES}test_late_announcement_brings_nothing_back_after_a_restart",),
+    ),
+    Mechanism(
+        5,
+        "entry hosts have taken an upstream's leaving in",
+        "coordination/departures.py",
+        "            await self._followers.wait(version)\n",
+        "            pass\n",
+        (
+            f"{_DEPARTURES}test_leaving_is_acknowledged_once_all_entry_hosts_have_heard_of_it",
+        ),
+    ),
+    Mechanism(
+        5,
+        "entry hosts ask most voters",
+        "coordination/sync.py",
+        "most_voters = len(self._voters) // 2 + 1",
+        "most_voters = 0",
+        (f"{_ACKNOWLEDGED}[leaves-say_it_at_a_majority-12-5]",),
     ),
     Mechanism(
         5,
--- a/src/pepperstep/coordination/control_desk.py
+++ b/src/pepperstep/coordination/control_desk.py
@@ -6,7 +6,9 @@
 import trio
 from absl import logging
 
+from pepperstep.coordination.departures import Departures
 from pepperstep.coordination.entry_book import EntryBook
+from pepperstep.coordination.followers import Followers
 from pepperstep.coordination.records import (
     Announcement,
     EntryReport,
@@ -30,9 +32,6 @@
 # Time after a start until a control host has heard of all entry hosts, in seconds:
 # they ask twice a second, and those that back off once a second.
 _DIRECTORY_SETTLING_SECONDS = 1.5
-# Time for the other control hosts to take in a notice, in seconds. Upstreams
-# wait one second for their answer.
-_NOTICE_SECONDS = 0.6
 # How far an upstream's clock may be ahead of this host's, in seconds: clocks jump by
 # an hour in tests of them. A start that's told to be later than this would hide all
 # that its upstream says of itself afterwards.
@@ -68,6 +67,9 @@
         book: UpstreamBook,
         entries: EntryBook,
         control_hosts: Callable[[], list[str]],
+        voters: Callable[[], list[str]],
+        departures: Departures,
+        followers: Followers,
         epoch: int,
         is_in_contact: Callable[[], bool] = lambda: True,
         rollouts: RolloutSource | None = None,
@@ -78,6 +80,9 @@
         self._tables = tables
         self._book = book
         self._control_hosts = control_hosts
+        self._voters = voters
+        self._departures = departures
+        self._followers = followers
         self._epoch = epoch
         self._is_in_contact = is_in_contact
         self._entries = entries
@@ -94,28 +99,44 @@
         tables.subscribe(self._note_table)
         peers.handle(pb.SyncRequest, self._on_sync)
         peers.handle(pb.TableRequest, self._on_table)
-        peers.handle(pb.UpstreamNotice, self._on_notice)
         peers.handle(pb.AnswerNotice, self._on_answer_notice)
 
     async def note_announcement(self, announcement: Announcement) -> None:
         """Take in what an upstream says of itself.
 
-        That it leaves must outlive this host: then another control host has
-        to know it before this returns. Raise `Failure` with `NO_QUORUM` else, and
-        with `INVALID_REQUEST` for what can't be an upstream's own words.
+        That it leaves has to bind all entry hosts once this returns, whoever restarts.
+        Raise `Failure` with `NO_QUORUM` else, and with `INVALID_REQUEST` for what
+        can't be an upstream's own words.
         """
         self._check(announcement)
         arrived_at = self._timers.now()
         before = self._book.get(announcement.id)
         self._book.note(announcement)
         now = self._book.get(announcement.id)
-        if now.takes_work:
+        if announcement.takes_work or now.takes_work:
             return
-        known_by: list[str] = []
         is_news = before is None or before.takes_work or now.key != before.key
-        if is_news:
-            known_by = await self._tell_leaving(now)
-        self._log_acknowledged(now, not is_news, known_by, arrived_at)
+        await self._acknowledge(now, is_news, arrived_at)
+
+    async def note_gone(self, upstream: str, incarnation: int | None = None) -> None:
+        """Take in that an upstream ends; raise as `note_announcement` does.
+
+        Without an incarnation, it's the latest that is known.
+        """
+        arrived_at = self._timers.now()
+        before = self._book.get(upstream)
+        is_news = before is None or not before.is_gone
+        self._book.note_gone(upstream, incarnation)
+        await self._acknowledge(self._book.get(upstream), is_news, arrived_at)
+
+    def absorb(self, control_host: str, reply: pb.SyncReply, age: float) -> None:
+        """Take in another control host's answer that is `age` seconds old."""
+        for message in reply.entries:
+            self._entries.note(EntryReport.from_message(message), age + message.age)
+        for message in reply.upstreams:
+            if message.is_silent:
+                key = (message.id, message.incarnation)
+                self._book.note_silent(key, age + message.age, control_host)
 
     def _check(self, announcement: Announcement) -> None:
         """Raise `Failure` for an announcement that another writer must have made."""
@@ -128,93 +149,22 @@
             text = f"There is no service {announcement.service!r}."
             raise Failure(Code.INVALID_REQUEST, text)
 
-    async def _tell_leaving(self, upstream: Announcement) -> list[str]:
-        logging.info(
-            "desk: Upstream %s of %s leaves, by its announcement %d.",
-            upstream.id,
-            upstream.service,
-            upstream.sequence,
-        )
-        return await self._tell_others(upstream)
-
-    def _log_acknowledged(
-        self,
-        upstream: Announcement,
-        is_repeat: bool,
-        known_by: list[str],
-        arrived_at: float,
+    async def _acknowledge(
+        self, upstream: Announcement, is_news: bool, arrived_at: float
     ) -> None:
+        """Return once all hosts keep to it that an upstream leaves or ends."""
+        known_by = await self._departures.spread(upstream)
         event = LeavingAcknowledged(
             upstream=upstream.id,
             incarnation=upstream.incarnation,
             service=upstream.service,
             is_gone=upstream.is_gone,
-            is_repeat=is_repeat,
+            is_repeat=not is_news,
             known_by=known_by,
             after_ms=round(1000 * (self._timers.now() - arrived_at)),
         )
         logging.info("desk: %s", event)
 
-    async def note_gone(self, upstream: str, incarnation: int | None = None) -> None:
-        """Take in that an upstream ends; raise as `note_announcement` does.
-
-        Without an incarnation, it's the latest that is known.
-        """
-        arrived_at = self._timers.now()
-        known = self._book.get(upstream)
-        if known is not None and known.is_gone:
-            self._log_acknowledged(known, True, [], arrived_at)
-            return
-        self._book.note_gone(upstream, incarnation)
-        gone = self._book.get(upstream)
-        known_by = await self._tell_others(gone)
-        self._log_acknowledged(gone, False, known_by, arrived_at)
-
-    def absorb(self, control_host: str, reply: pb.SyncReply, age: float) -> None:
-        """Take in another control host's answer that is `age` seconds old."""
-        for message in reply.entries:
-            self._entries.note(EntryReport.from_message(message), age + message.age)
-        for message in reply.upstreams:
-            if message.is_silent:
-                key = (message.id, message.incarnation)
-                self._book.note_silent(key, age + message.age, control_host)
-
-    async def _tell_others(self, announcement: Announcement) -> list[str]:
-        """Return the control hosts that have taken it in by then, one at least."""
-        others = [each for each in self._control_hosts() if each != self._name]
-        if not others:
-            return []
-        heard = trio.Event()
-        known_by: list[str] = []
-        notice = pb.UpstreamNotice(upstream=announcement.to_message())
-
-        async def tell(other: str) -> None:
-            try:
-                await self._peers.call(other, notice, _NOTICE_SECONDS)
-            except Failure as failure:
-                logging.info("desk: %s misses a notice: %s", other, failure.text)
-            else:
-                known_by.append(other)
-                heard.set()
-
-        async with trio.open_nursery() as nursery:
-            for other in others:
-                nursery.start_soon(tell, other)
-            with self._timers.move_on_after(_NOTICE_SECONDS):
-                await heard.wait()
-            if not heard.is_set():
-                nursery.cancel_scope.cancel()
-        if not heard.is_set():
-            raise Failure(Code.NO_QUORUM, "No other control host has taken it in.")
-        return known_by
-
-    async def _on_notice(
-        self, message: pb.UpstreamNotice, sender: str
-    ) -> pb.UpstreamNoticeReply:
-        announcement = Announcement.from_message(message.upstream)
-        self._book.note(announcement, told_by=sender, heard_by=sender)
-        return pb.UpstreamNoticeReply()
-
     async def _on_answer_notice(
         self, message: pb.AnswerNotice, sender: str
     ) -> pb.AnswerNoticeReply:
@@ -228,6 +178,8 @@
 
     async def _on_sync(self, request: pb.SyncRequest, sender: str) -> pb.SyncReply:
         if request.HasField("entry"):
+            is_known = request.registry_epoch == self._epoch
+            self._followers.note(sender, request.registry_version if is_known else 0)
             report = EntryReport.from_message(request.entry)
             self._entries.note_own(report, request.is_source)
         asked_at = self._timers.now()
@@ -238,6 +190,7 @@
             registry_epoch=self._epoch,
             registry_version=self._book.version,
             control_hosts=self._control_hosts(),
+            voters=self._voters(),
             entry_count=self._entries.count,
             has_all_restarted=self._entries.has_all_restarted,
             wall=self._timers.wall(),
--- /dev/null
+++ b/src/pepperstep/coordination/departures.py
@@ -0,0 +1,129 @@
+"""What has to hold before an upstream is told that its leaving is known.
+
+From then on no entry host may send it anything, whatever happens to those who know.
+So most voters of the log have it on their disks, and all entry hosts that ask one of
+these have taken it in. An entry host asks most voters, too, and so one that knows.
+The log itself isn't used, as it's a fact that nothing contradicts: it needs no leader.
+"""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from absl import logging
+
+from pepperstep.coordination.followers import Followers
+from pepperstep.coordination.records import Announcement
+from pepperstep.coordination.upstream_book import UpstreamBook
+from pepperstep.errors import Code, Failure
+from pepperstep.ports import PeerNetwork, Timers
+from pepperstep.proto import coordination_pb2 as pb
+
+__all__ = ["Departures"]
+
+# Time for all of it, in seconds: upstreams wait one second for their answer.
+_SPREAD_SECONDS = 0.85
+
+
+class Departures:
+    """A control host's part in it.
+
+    `store` returns once what the host knows is on its disk, and raises `OSError` if the
+    disk fails.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        peers: PeerNetwork,
+        timers: Timers,
+        book: UpstreamBook,
+        followers: Followers,
+        control_hosts: Callable[[], list[str]],
+        voters: Callable[[], list[str]],
+        store: Callable[[], Awaitable[None]],
+    ):
+        self._name = name
+        self._peers = peers
+        self._timers = timers
+        self._book = book
+        self._followers = followers
+        self._control_hosts = control_hosts
+        self._voters = voters
+        self._store = store
+        peers.handle(pb.UpstreamNotice, self._on_notice)
+
+    async def spread(self, upstream: Announcement) -> list[str]:
+        """Let other control hosts know, and return those that have taken it in.
+
+        Raise `Failure` with `NO_QUORUM` if most voters haven't in time.
+        """
+        known_by: list[str] = []
+        is_enough = trio.Event()
+
+        def note_known(name: str) -> None:
+            known_by.append(name)
+            if self._are_most(known_by):
+                is_enough.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._take_in_here, note_known)
+            for other in self._control_hosts():
+                if other != self._name:
+                    nursery.start_soon(self._tell, other, upstream, note_known)
+            with self._timers.move_on_after(_SPREAD_SECONDS):
+                await is_enough.wait()
+            nursery.cancel_scope.cancel()
+        if not is_enough.is_set():
+            text = f"Only {len(known_by)} control hosts have taken it in."
+            raise Failure(Code.NO_QUORUM, text)
+        return known_by
+
+    def _are_most(self, names: list[str]) -> bool:
+        voters = set(self._voters())
+        return 2 * len(voters.intersection(names)) > len(voters)
+
+    async def _take_in_here(self, note_known: Callable[[str], None]) -> None:
+        try:
+            await self._take_in()
+        except Failure as failure:
+            logging.info("departures: Not taken in here: %s", failure.text)
+        else:
+            note_known(self._name)
+
+    async def _tell(
+        self, other: str, upstream: Announcement, note_known: Callable[[str], None]
+    ) -> None:
+        notice = pb.UpstreamNotice(upstream=upstream.to_message())
+        try:
+            await self._peers.call(other, notice, _SPREAD_SECONDS)
+        except Failure as failure:
+            logging.info("departures: %s misses a notice: %s", other, failure.text)
+        else:
+            note_known(other)
+
+    async def _on_notice(
+        self, message: pb.UpstreamNotice, sender: str
+    ) -> pb.UpstreamNoticeReply:
+        announcement = Announcement.from_message(message.upstream)
+        self._book.note(announcement, told_by=sender, heard_by=sender)
+        await self._take_in()
+        return pb.UpstreamNoticeReply()
+
+    async def _take_in(self) -> None:
+        """Return once what the book holds now can't be forgotten or missed.
+
+        Raise `Failure` with `NOT_READY` if the disk fails, or an entry host doesn't
+        take it in.
+        """
+        version = self._book.version
+        is_known = False
+        try:
+            await self._store()
+        except OSError as error:
+            raise Failure(Code.NOT_READY, f"The disk fails: {error}") from error
+        with self._timers.move_on_after(_SPREAD_SECONDS):
+            await self._followers.wait(version)
+            is_known = True
+        if not is_known:
+            behind = ", ".join(self._followers.behind(version))
+            raise Failure(Code.NOT_READY, f"Entry hosts haven't taken it in: {behind}")
--- a/src/pepperstep/coordination/hints.py
+++ b/src/pepperstep/coordination/hints.py
@@ -1,15 +1,16 @@
 """What a control host may tell others before the log has a leader again.
 
 After a loss of power everywhere, an election takes two to three seconds, and
-upstreams announce themselves once in 1.2 s. An agreed table stays agreed, and
-upstreams that are gone are found out by the first request; so both are told
-from a file at once. Reads of the table never come from here. The number of entry
-hosts is told too: the first that come back would each take a whole quota else.
+upstreams announce themselves once in 1.2 s. An agreed table stays agreed, and what has
+said that it leaves does leave; so both are told from a file at once. Reads of the table
+never come from here. The number of entry hosts is told too: the first that come back
+would each take a whole quota else.
 """
 
 from collections.abc import Iterable
 from typing import Protocol
 
+import trio
 from absl import logging
 from google.protobuf.message import DecodeError
 
@@ -28,6 +29,9 @@
 _FILE = "hints"
 # Between two writes, in seconds: each costs three syncs.
 _WRITE_SECONDS = 0.5
+# Time for which upstreams that are gone are kept, in seconds: announcements of theirs
+# that are on their way come later by seconds.
+_GONE_SECONDS = 60.0
 
 
 class RolloutHints(Protocol):
@@ -63,6 +67,7 @@
         self._timers = timers
         self._rollouts = rollouts
         self._written = (0, 0, 0, 0)
+        self._lock = trio.Lock()
         # The document with its compressed bytes; upstreams change more often.
         self._document = Document()
         self._table = b""
@@ -74,7 +79,8 @@
             return
         try:
             hints = pb.HintsFile.FromString(data)
-            self._tables.take(_document_of(hints))
+            if hints.table_version:
+                self._tables.take(_document_of(hints))
         except (DecodeError, Failure) as error:
             logging.warning("hints: The file can't be used: %s", error)
             return
@@ -92,19 +98,22 @@
     async def run(self) -> None:
         """Write what changed until cancelled."""
         async for _ in self._timers.subscribe(_WRITE_SECONDS):
+            try:
+                await self.store()
+            except OSError as error:
+                logging.warning("hints: The file isn't written: %s", error)
+
+    async def store(self) -> None:
+        """Return once the file holds what is known now; raise `OSError` if it can't."""
+        async with self._lock:
             state = (
                 self._tables.current.version,
                 self._book.version,
                 self._entries.count,
                 self._rollouts.index,
             )
-            if state == self._written or not self._tables.is_known:
-                continue
-            try:
+            if state != self._written:
                 await self._storage.replace(_FILE, self._encode())
-            except OSError as error:
-                logging.warning("hints: The file isn't written: %s", error)
-            else:
                 self._written = state
 
     def _encode(self) -> bytes:
@@ -112,15 +121,18 @@
             table_version=self._tables.current.version,
             table=self._compressed(),
             upstreams=[
-                each.to_message()
-                for each in self._book.all()
-                if not (each.is_gone or each.key in self._book.silent)
+                each.to_message() for each in self._book.all() if self._is_kept(each)
             ],
             entry_count=self._entries.count,
             rollouts=self._rollouts.messages(),
         )
         return hints.SerializeToString()
 
+    def _is_kept(self, upstream: Announcement) -> bool:
+        if upstream.is_gone:
+            return self._book.age(upstream.id) < _GONE_SECONDS
+        return upstream.key not in self._book.silent
+
     def _compressed(self) -> bytes:
         if self._document is not self._tables.document:
             self._document = self._tables.document
--- a/src/pepperstep/coordination/sync.py
+++ b/src/pepperstep/coordination/sync.py
@@ -6,7 +6,7 @@
 one control host don't grow with the number of control hosts.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import trio
@@ -52,9 +52,8 @@
     reach: float = 2.0
     # Time until a control host that starts has heard of all entry hosts.
     settling: float = 1.5
-    # Control hosts that an entry host asks. Any two entry hosts have one in common
-    # among five control hosts; with more of them, some pairs hear of each other half
-    # a second later.
+    # Control hosts that an entry host asks at least, and most of the voters: what most
+    # voters know, one of those knows.
     fanout: int = 3
     # Time in which a control host has a new table from the log, mostly.
     log_delay: float = 0.3
@@ -118,6 +117,7 @@
         )
         self._sources: dict[str, _Source] = {}
         self._wanted: set[str] = set(self._seeds)
+        self._voters: frozenset[str] = frozenset()
         self._nursery: trio.Nursery | None = None
         self._wake = trio.Event()
         self._totals: dict[str, int] = {}
@@ -224,17 +224,29 @@
         self._fetcher.forget(name)
 
     def _is_asked(self, name: str) -> bool:
-        """Whether this host asks a control host, or leaves it to others.
+        """Whether this host asks a control host, or leaves it to others."""
+        return self._report is None or name in self._asked()
 
-        Each host ranks them by hashes of its own, so that all are asked alike. One
-        that doesn't answer is asked on, and the next one besides.
+    def _asked(self) -> list[str]:
+        """Return the control hosts that an entry host asks.
+
+        Each host ranks them by hashes of its own, so that all are asked alike. One that
+        doesn't answer is asked on, and the next one besides.
         """
-        if self._report is None:
-            return True
-        ranked = sorted(self._wanted, key=self._rank)
-        before = ranked[: ranked.index(name)]
-        answering = sum(not self._sources[each].is_failing for each in before)
-        return answering < self._settings.fanout
+        asked: list[str] = []
+        most_voters = len(self._voters) // 2 + 1
+        self._ask_more(asked, self._voters & self._wanted, most_voters)
+        self._ask_more(asked, self._wanted, self._settings.fanout)
+        return asked
+
+    def _ask_more(self, asked: list[str], names: Iterable[str], least: int) -> None:
+        """Add control hosts until so many answer of those that are asked."""
+        for name in sorted(names, key=self._rank):
+            answering = sum(not self._sources[each].is_failing for each in asked)
+            if answering >= least:
+                return
+            if name not in asked:
+                asked.append(name)
 
     def _is_source(self, name: str) -> bool:
         """Whether a control host is the one that tells the others of this host.
@@ -363,6 +375,8 @@
                 self.on_admitted(workspace, total)
 
     def _take_control_hosts(self, reply: pb.SyncReply) -> None:
+        if reply.is_in_contact or not self._voters:
+            self._voters = frozenset(reply.voters)
         named = set(reply.control_hosts) - {self._name}
         self._want(sorted(named))
         silent = self._timers.now() - 5 * self._settings.reach
--- a/src/pepperstep/programs/control_host.py
+++ b/src/pepperstep/programs/control_host.py
@@ -21,6 +21,8 @@
     propose_table,
 )
 from pepperstep.coordination.contact import Contact
+from pepperstep.coordination.departures import Departures
+from pepperstep.coordination.followers import Followers
 from pepperstep.coordination.hints import Hints
 from pepperstep.coordination.silence import SilenceJudge
 from pepperstep.coordination.table_updates import Document
@@ -107,6 +109,25 @@
                 settings.bounds.expose_share, settings.bounds.expose_allowance
             ),
         )
+        self._hints = Hints(
+            ports.storage,
+            self.tables,
+            self.book,
+            self.entries,
+            ports.timers,
+            self.rollouts,
+        )
+        followers = Followers(ports.timers)
+        departures = Departures(
+            self._peer_name,
+            ports.peers,
+            ports.timers,
+            self.book,
+            followers,
+            self._control_hosts,
+            self.agreement.voters,
+            self._hints.store,
+        )
         self.desk = ControlDesk(
             self._peer_name,
             ports.peers,
@@ -115,20 +136,15 @@
             self.book,
             self.entries,
             self._control_hosts,
+            self.agreement.voters,
+            departures,
+            followers,
             epoch=ports.rng.getrandbits(48),
             is_in_contact=self._contact.is_held,
             rollouts=self.rollouts,
         )
         self.sync.on_reply = self.desk.absorb
         self._silence = SilenceJudge(self.book, ports.timers.now, self._contact)
-        self._hints = Hints(
-            ports.storage,
-            self.tables,
-            self.book,
-            self.entries,
-            ports.timers,
-            self.rollouts,
-        )
         self._duty = Duty(
             settings.host, self.agreement, ports.timers, settings.bounds.duty_lease
         )
--- a/tests/relaying/test_acknowledged_leaving.py
+++ b/tests/relaying/test_acknowledged_leaving.py
@@ -185,6 +185,15 @@
     await scene.leave("u", minority, is_end=is_end)
 
 
+async def say_it_at_a_majority(scene: Scene, is_end: bool) -> None:
+    """Say it to most control hosts, while callers' hosts reach the others as well."""
+    minority = scene.controls[: (len(scene.controls) - 1) // 2]
+    majority = sorted(set(scene.controls) - set(minority))
+    for name in minority:
+        scene.world.cut_off(name, majority)
+    assert await scene.leave("u", majority, is_end=is_end)
+
+
 async def kill_all_that_know(scene: Scene, is_end: bool) -> None:
     """Kill all hosts as soon as it's acknowledged."""
     await scene.leave("u", ["c0:1", "c1:1"], is_end=is_end)
@@ -274,9 +283,12 @@
     name = rng.choice([*scene.controls, *sorted(scene.world.entries)])
     timers = scene.world.timers[name]
     timers.pause()
-    await trio.sleep(rng.uniform(0.1, 3.0))
-    timers.resume()
     scene.excuse(name)
+    try:
+        await trio.sleep(rng.uniform(0.1, 3.0))
+    finally:
+        timers.resume()
+        scene.excuse(name)
 
 
 @pytest.mark.parametrize(
@@ -284,6 +296,8 @@
     [
         *((repeat_at_a_host_cut_off, entries, 3) for entries in ENTRIES),
         *((say_it_at_a_minority, entries, 5) for entries in ENTRIES),
+        *((say_it_at_a_majority, entries, 5) for entries in ENTRIES),
+        (say_it_at_a_majority, 12, 6),
         *((kill_all_that_know, entries, 3) for entries in ENTRIES),
         *((say_it_to_an_empty_host, entries, 3) for entries in ENTRIES[:1]),
         *(
@@ -303,3 +317,23 @@
     async with serving(entries, controls) as scene:
         await trouble(scene, is_end)
         await trio.sleep(6.0)
+
+
+async def test_late_announcement_brings_nothing_back_after_a_restart(autojump_clock):
+    async with serving(5) as scene:
+        assert await scene.leave("u", ["c0:1"], is_end=True)
+        await scene.restart([*scene.controls, *scene.world.entries], 0.5)
+        await scene.add("u", "c1:1")
+        await trio.sleep(6.0)
+
+
+async def test_leaving_is_acknowledged_once_all_entry_hosts_have_heard_of_it(
+    autojump_clock,
+):
+    async with serving(5) as scene:
+        for name in scene.controls:
+            scene.world.network.cut(name, "e0:1")
+        assert not await scene.leave("u", scene.controls)
+        scene.world.network.heal()
+        await trio.sleep(1.0)
+        assert await scene.leave("u", scene.controls)
