An upstream's end binds though its host knows another start of it, or none

What could be seen: a control host that is told of the end of an upstream that it doesn't know raised AttributeError, which ends the daemon, if the end named its start; otherwise it acknowledged the end of a start 0, which hosts that know a later start took for an old one, and sent on. Found while looking for the cause of DRAIN elsewhere.

Mend: an end counts for the start that it names, though another or none is known; one that names none counts for the latest that each host knows. An end of an earlier start changes nothing, as before.

--- a/src/pepperstep/coordination/control_desk.py
+++ b/src/pepperstep/coordination/control_desk.py
@@ -127,7 +127,9 @@
         before = self._book.get(upstream)
         is_news = before is None or not before.is_gone
         self._book.note_gone(upstream, incarnation)
-        await self._acknowledge(self._book.get(upstream), is_news, arrived_at)
+        now = self._book.get(upstream)
+        if not now.takes_work:
+            await self._acknowledge(now, is_news, arrived_at)
 
     def absorb(self, control_host: str, reply: pb.SyncReply, age: float) -> None:
         """Take in another control host's answer that is `age` seconds old."""
--- a/src/pepperstep/coordination/departures.py
+++ b/src/pepperstep/coordination/departures.py
@@ -105,7 +105,12 @@
         self, message: pb.UpstreamNotice, sender: str
     ) -> pb.UpstreamNoticeReply:
         announcement = Announcement.from_message(message.upstream)
-        self._book.note(announcement, told_by=sender, heard_by=sender)
+        if announcement.is_gone and not announcement.service:
+            # The sender has heard of its end only, perhaps not of which start.
+            incarnation = announcement.incarnation or None
+            self._book.note_gone(announcement.id, incarnation, sender)
+        else:
+            self._book.note(announcement, told_by=sender, heard_by=sender)
         await self._take_in()
         return pb.UpstreamNoticeReply()
 
--- a/src/pepperstep/coordination/upstream_book.py
+++ b/src/pepperstep/coordination/upstream_book.py
@@ -249,17 +249,19 @@
     def note_gone(
         self, upstream: str, incarnation: int | None = None, told_by: str = _ITSELF
     ) -> None:
-        """Take in that an upstream is gone, known or not.
+        """Take in that a start of an upstream is gone, known or not.
 
         Without an incarnation, it's the latest that is known.
         """
         known = self.get(upstream)
-        age = 0.0
+        age = 0.0 if known is None else self.age(upstream)
         if known is None:
             known = Announcement(upstream, service="", address="", zone="")
-        else:
-            age = self.age(upstream)
-        if incarnation is None or incarnation == known.incarnation:
+        if incarnation is None:
+            incarnation = known.incarnation
+        if incarnation > known.incarnation:
+            known = replace(known, incarnation=incarnation, sequence=0)
+        if incarnation == known.incarnation:
             self.note(replace(known, is_gone=True), age, told_by)
 
     def note_silent(self, upstream: UpstreamKey, age: float, told_by: str) -> None:
--- a/tests/relaying/test_acknowledged_leaving.py
+++ b/tests/relaying/test_acknowledged_leaving.py
@@ -67,10 +67,10 @@
         self._losses = (controls - 1) // 2
         self._nursery = nursery
 
-    async def add(self, name: str, host: str = "c0:1") -> None:
+    async def add(self, name: str, host: str = "c0:1", **facts) -> None:
         """Let an upstream announce itself."""
         self.world.connector.scripts[f"{name}:80"] = self.upstreams.answer
-        await self.world.announce(host, name, "plain")
+        await self.world.announce(host, name, "plain", **facts)
 
     async def leave(self, name: str, hosts: list[str], *, is_end: bool = False) -> bool:
         """Let an upstream say at hosts in turn that it leaves, until one agrees."""
@@ -337,3 +337,30 @@
         scene.world.network.heal()
         await trio.sleep(1.0)
         assert await scene.leave("u", scene.controls)
+
+
+@pytest.mark.parametrize("incarnation", [None, 5, 6])
+async def test_end_binds_though_its_host_does_not_know_the_upstream(
+    autojump_clock, incarnation
+):
+    async with serving(5) as scene:
+        scene.world.cut_off("c1:1", scene.controls)
+        await trio.sleep(3.0)
+        await scene.add("v", incarnation=5)
+        await trio.sleep(1.0)
+        scene.world.network.heal()
+        host = scene.world.controls["c1:1"]
+        assert host.book.get("v") is None
+        await host.note_gone("v", incarnation)
+        scene.upstreams.acknowledged["v"] = trio.current_time()
+        await trio.sleep(6.0)
+
+
+async def test_end_of_an_earlier_start_ends_nothing(autojump_clock):
+    async with serving(5) as scene:
+        await scene.world.announce("c0:1", "u", "plain", incarnation=5)
+        await trio.sleep(1.0)
+        await scene.world.controls["c1:1"].note_gone("u", 4)
+        await trio.sleep(1.0)
+        for host in scene.world.entries.values():
+            assert host.book.get("u").takes_work
