--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -70,7 +70,10 @@
         self.address = address
         self.seen: list[RequestHead] = []
         self.sequence = 0
+        # What it announces, "" while it announces nothing.
         self.state = "ready"
+        # States that control hosts have acknowledged.
+        self.acknowledged: set[str] = set()
         # Of its software.
         self.version = "v1"
 
@@ -228,12 +231,21 @@
 
     async def _announce(self, upstream: StandInUpstream) -> None:
         while True:
-            path = f"/-/Replicas.Heartbeat/{upstream.name}"
-            for ip in self.controls:
-                if await self._send(ip, 1, b"POST", path, upstream.beat()) is not None:
-                    break
+            if upstream.state:
+                await self._announce_once(upstream)
             await trio.sleep(0.3)
 
+    async def _announce_once(self, upstream: StandInUpstream) -> None:
+        path = f"/-/Replicas.Heartbeat/{upstream.name}"
+        state = upstream.state
+        for ip in self.controls:
+            received = await self._send(ip, 1, b"POST", path, upstream.beat())
+            if received is None:
+                continue
+            if received.status == 200:
+                upstream.acknowledged.add(state)
+            return
+
     async def _send(
         self,
         ip: str,
