--- a/src/pepperstep/coordination/departures.py
+++ b/src/pepperstep/coordination/departures.py
@@ -1,9 +1,10 @@
-"""What has to hold before an upstream is told that its leaving is known.
+"""Upstreams that leave or end, and when that may be acknowledged.
 
-From then on no entry host may send it anything, whatever happens to those who know.
-So most voters of the log have it on their disks, and all entry hosts that ask one of
-these have taken it in. An entry host asks most voters, too, and so one that knows.
-The log itself isn't used, as it's a fact that nothing contradicts: it needs no leader.
+After the acknowledgement no entry host may send such an upstream anything, whichever
+hosts restart. So most voters of the log must have it on their disks, and all entry hosts
+that ask one of these must have taken it in. Each entry host asks most voters, and so one
+that knows. An upstream's word can't be contradicted, so this needs no leader and no
+commit of the log.
 """
 
 from collections.abc import Awaitable, Callable
@@ -20,12 +21,12 @@
 
 __all__ = ["Departures"]
 
-# Time for all of it, in seconds: upstreams wait one second for their answer.
+# Time for all of this, in seconds: upstreams wait one second for their answer.
 _SPREAD_SECONDS = 0.85
 
 
 class Departures:
-    """A control host's part in it.
+    """Departures that one control host has heard of, and those that others tell it.
 
     `store` returns once what the host knows is on its disk, and raises `OSError` if the
     disk fails.
@@ -53,9 +54,9 @@
         peers.handle(pb.UpstreamNotice, self._on_notice)
 
     async def spread(self, upstream: Announcement) -> list[str]:
-        """Let other control hosts know, and return those that have taken it in.
+        """Tell all control hosts, and return those that have taken it in.
 
-        Raise `Failure` with `NO_QUORUM` if most voters haven't in time.
+        Return once most voters have. Raise `Failure` with `NO_QUORUM` if they don't in time.
         """
         known_by: list[str] = []
         is_enough = trio.Event()
