--- a/src/pepperstep/coordination/departures.py
+++ b/src/pepperstep/coordination/departures.py
@@ -1,10 +1,10 @@
 """Upstreams that leave or end, and when that may be acknowledged.
 
 After the acknowledgement no entry host may send such an upstream anything, whichever
-hosts restart. So most voters of the log must have it on their disks, and all entry hosts
-that ask one of these must have taken it in. Each entry host asks most voters, and so one
-that knows. An upstream's word can't be contradicted, so this needs no leader and no
-commit of the log.
+hosts restart. So most voters of the log must have it on their disks, and all entry
+hosts that ask one of these must have taken it in. Each entry host asks most voters, and
+so one that knows. An upstream's word can't be contradicted, so this needs no leader and
+no commit of the log.
 """
 
 from collections.abc import Awaitable, Callable
@@ -56,7 +56,7 @@
     async def spread(self, upstream: Announcement) -> list[str]:
         """Tell all control hosts, and return those that have taken it in.
 
-        Return once most voters have. Raise `Failure` with `NO_QUORUM` if they don't in time.
+        Return once most voters have; raise `Failure` with `NO_QUORUM` if they don't.
         """
         known_by: list[str] = []
         is_enough = trio.Event()
