Test: callers begin once both hosts have the routes that were acknowledged

Played again six times at once, one failed in the same way; its entry hosts' lines show why: the refused requests were answered under version 7, whose route allows one attempt, or 26 to 43 ms after their arrival just as version 8 came in force. All retries that were asked for were granted, so the retry budget isn't the cause. A change may take 2 s from its acknowledgement until it's in force, so the test was wrong to begin at once. It waits for a route of version 8 on both hosts now; what it checks is unchanged.

--- a/tests/wire/test_signals.py
+++ b/tests/wire/test_signals.py
@@ -1,5 +1,7 @@
 """What upstreams say in their answers, through real daemons on loopback."""
 
+from functools import partial
+
 import trio
 
 from pepperstep.ports.exchange import Answer, Exchange
@@ -45,6 +47,12 @@
         return sum(each >= begin for each in self.times)
 
 
+async def _is_known(site: Site, entry: str, path: str) -> bool:
+    """Whether an entry host has a route for a path."""
+    received = await site.request(entry, path, KEY, body=b"chart")
+    return received is not None and received.status == 200
+
+
 async def call(site: Site, seconds: float) -> list[int]:
     """Send requests to both entry hosts for so long, and return what callers got."""
     statuses: list[int] = []
@@ -100,7 +108,11 @@
         route = {"name": "once", "host": "a.example", "path_prefix": "/once/"}
         route |= {"timeout_ms": 9000, "service": "plain"}
         route |= {"kind": "safe", "max_attempts": 3}
-        await site.operate(b"POST", "/-/Config.Replace", table(8, routes=[route]))
+        probe = route | {"name": "probe", "path_prefix": "/probe/"}
+        routes = table(8, routes=[route, probe])
+        await site.operate(b"POST", "/-/Config.Replace", routes)
+        for entry in ("entry-4", "entry-5"):
+            await site.wait(partial(_is_known, site, entry, "/probe/1"))
         refusing = await site.upstream("u2", "plain", 10, SpeakingUpstream)
         refusing.refuses = True
         statuses = await call(site, 8.0)
