One rule of retries for tests, one constant of lost contact

The bound on retries in a window stood in two tests, and the time from which a host is out of contact in two modules, with the same value. Each stands once now.

--- a/src/pepperstep/coordination/host_share.py
+++ b/src/pepperstep/coordination/host_share.py
@@ -9,10 +9,11 @@
 from collections import deque
 from collections.abc import Callable
 
-__all__ = ["HostShare"]
+__all__ = ["CONTACT_SECONDS", "HostShare"]
 
-# Time without word after which a host has no part, in seconds: two rounds of questions.
-_CONTACT_SECONDS = 1.2
+# Time without word after which a host is out of contact, in seconds: two rounds of
+# questions.
+CONTACT_SECONDS = 1.2
 # Time without word during which a host is surely counted on, in seconds.
 _COUNTED_SECONDS = 5.0
 
@@ -46,7 +47,7 @@
     @property
     def part(self) -> float:
         """Part of the whole that this host may use now, 0 for none."""
-        if self._now() - self._told_at > _CONTACT_SECONDS:
+        if self._now() - self._told_at > CONTACT_SECONDS:
             return 0.0
         return 1 / self.hosts
 
@@ -65,4 +66,4 @@
             self.joins += 1
             self.credit = 0.0
             return
-        self.credit += min(passed, _CONTACT_SECONDS) / self.hosts
+        self.credit += min(passed, CONTACT_SECONDS) / self.hosts
--- a/src/pepperstep/programs/entry_host.py
+++ b/src/pepperstep/programs/entry_host.py
@@ -12,6 +12,7 @@
     UpstreamBook,
     UpstreamKey,
 )
+from pepperstep.coordination.host_share import CONTACT_SECONDS
 from pepperstep.coordination.silence import SilenceVotes
 from pepperstep.observability.relay_metrics import RelayMetrics
 from pepperstep.programs.relay_ports import RelayPorts
@@ -49,9 +50,6 @@
 # crashes in an hour leave 17 of these.
 _FORGET_SECONDS = 600.0
 _TIDY_SECONDS = 1.0
-# Time without an answer of any control host after which this host's counts are too
-# old to share quotas by, in seconds: two rounds of questions.
-_CONTACT_SECONDS = 1.2
 # Time after the order to stop from which streams are refused, in seconds:
 # what is taken later may not end before the process has to.
 _STREAMS_SECONDS = 2.5
@@ -239,7 +237,7 @@
         )
 
     def _is_in_contact(self) -> bool:
-        return self.sync.silence < _CONTACT_SECONDS
+        return self.sync.silence < CONTACT_SECONDS
 
     def _host_count(self) -> int:
         """Return the entry hosts that share, as one host cut off doesn't know them."""
--- a/tests/relaying/test_retry_windows.py
+++ b/tests/relaying/test_retry_windows.py
@@ -1,6 +1,5 @@
 """What all hosts together retry in any window, through troubles of hosts."""
 
-import bisect
 import json
 import random
 from collections import Counter
@@ -14,8 +13,10 @@
 from pepperstep.ports.exchange import AnswerHead, CallerGone, RequestHead
 from pepperstep.programs.relay_settings import RelayBounds
 from tests.relaying.world import KEY, document, open_world
+from tests.retry_rule import RetryRule
 
 BOUNDS = RelayBounds(retry_ratio=0.2, retry_window=10.0, retry_allowance=180.0)
+RULE = RetryRule(BOUNDS.retry_ratio, BOUNDS.retry_allowance, BOUNDS.retry_window)
 SEEDS = ("c0:1", "c1:1", "c2:1")
 # Requests a second: few, so that most of what may be sent is the allowance.
 RATE = 20.0
@@ -45,26 +46,6 @@
         )
         return Reply(AnswerHead(503, headers))
 
-    def check(self) -> None:
-        """Fail if more repeats have arrived in a window than are allowed.
-
-        The requests count that were sent in it, in the one before, or in the one half
-        a window before, whichever has most.
-        """
-        window = BOUNDS.retry_window
-        for number, first in enumerate(self.repeats):
-            count = bisect.bisect_left(self.repeats, first + window) - number
-            most = max(
-                self._asked_between(first - shift, first - shift + window)
-                for shift in (0.0, window / 2, window)
-            )
-            allowed = BOUNDS.retry_ratio * most + BOUNDS.retry_allowance
-            assert count <= allowed, (first, count, allowed)
-
-    def _asked_between(self, begin: float, end: float) -> int:
-        first = bisect.bisect_left(self.asked, begin)
-        return bisect.bisect_left(self.asked, end) - first
-
 
 class Callers:
     """Callers that send requests to entry hosts drawn by lot."""
@@ -124,7 +105,7 @@
             nursery.start_soon(Callers(world, service).run)
             yield world, service
             nursery.cancel_scope.cancel()
-    service.check()
+    RULE.check(service.asked, service.repeats)
 
 
 async def restart_entry_hosts(world) -> None:
--- a/tests/wire/test_restarts.py
+++ b/tests/wire/test_restarts.py
@@ -7,17 +7,15 @@
 
 from pepperstep.ports.exchange import Answer, Exchange
 from standins.platform_site import Site, StandInUpstream
+from tests.retry_rule import RetryRule
 from tests.wire.test_signals import SpeakingUpstream, call
 from tests.wire.test_wire import KEY, SEEDS, open_all, table
 
 ENTRIES = ("entry-4", "entry-5")
 # Time after an acknowledgement in which a request may still follow, in seconds.
 NOTICE = 2.0
-# What all hosts may retry: as a share of the requests and besides, in a window of so
-# many seconds.
-RATIO = 0.2
-ALLOWANCE = 50
 WINDOW = 10.0
+RULE = RetryRule(ratio=0.2, allowance=50.0, window=WINDOW)
 
 
 async def restart(site: Site, names: list[str]) -> None:
@@ -109,13 +107,7 @@
             nursery.cancel_scope.cancel()
         repeats = _repeats([each for up in upstreams for each in up.arrivals])
         assert repeats
-        for begin in repeats:
-            count = sum(begin <= each < begin + WINDOW for each in repeats)
-            requests = max(
-                sum(begin - shift <= each < begin - shift + WINDOW for each in asked)
-                for shift in (0.0, WINDOW / 2, WINDOW)
-            )
-            assert count <= RATIO * requests + ALLOWANCE
+        RULE.check(asked, repeats)
 
 
 def _repeats(arrivals: list[tuple[float, bytes]]) -> list[float]:
