--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -167,8 +167,8 @@
         5,
         "a repeat of an upstream's leaving is told again",
         "coordination/control_desk.py",
-        "        await self._acknowledge(now, is_news, arrived_at)\n",
-        "        is_news and await self._acknowledge(now, is_news, arrived_at)\n",
+        "now.key != before.key\n        await self._acknowledge(",
+        "now.key != before.key\n        is_news and await self._acknowledge(",
         (f"{_ACKNOWLEDGED}[leaves-repeat_at_a_host_cut_off-5-3]",),
     ),
     Mechanism(
