--- a/measure/main.py
+++ b/measure/main.py
@@ -60,6 +60,12 @@
     return run
 
 
+def _site_play() -> Callable:
+    from measure import site_play
+
+    return site_play.main
+
+
 # Each imports its module only when it's asked for, as flags are global.
 _COMMANDS = {
     "ablation": _ablation,
@@ -70,6 +76,7 @@
     "relay": _relay,
     "relaying": _relaying,
     "routing": _routing,
+    "site-play": _site_play,
 }
 
 
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -118,23 +118,39 @@
 class Site:
     """Deployment whose settings, data and logs are in `folder`.
 
-    `port` is the first of five consecutive free ports.
+    `port` is the first of five consecutive free ports. `daemon` is the program of the
+    hosts, and `bounds` are fields of their settings.
     """
 
-    def __init__(self, folder: Path, port: int, nursery: trio.Nursery):
+    def __init__(
+        self,
+        folder: Path,
+        port: int,
+        nursery: trio.Nursery,
+        daemon: Path = _DAEMON,
+        bounds: dict[str, float] | None = None,
+    ):
         self._folder = folder
         self._port = port
         self._nursery = nursery
+        self._daemon = daemon
+        self._bounds = {"grace_s": 6} | (bounds or {})
+        self._upstream_scopes: dict[str, trio.CancelScope] = {}
         self._connector = Http1Connector(trio.current_time)
         self.daemons: dict[str, Daemon] = {}
         self.controls: list[str] = []
 
     @classmethod
     @asynccontextmanager
-    async def open(cls, folder: Path) -> AsyncIterator["Site"]:
+    async def open(
+        cls,
+        folder: Path,
+        daemon: Path = _DAEMON,
+        bounds: dict[str, float] | None = None,
+    ) -> AsyncIterator["Site"]:
         """Yield a site, and kill its remaining daemons at the end of the block."""
         async with trio.open_nursery() as nursery:
-            site = cls(folder, _free_port(), nursery)
+            site = cls(folder, _free_port(), nursery, daemon, bounds)
             try:
                 yield site
             finally:
@@ -154,7 +170,7 @@
         log = self._folder / f"{name}.log"
         with log.open("ab") as stream:
             process = subprocess.Popen(
-                [sys.executable, str(_DAEMON)],
+                [sys.executable, str(self._daemon)],
                 env=os.environ | {"PEPPERSTEP_SETTINGS": str(path)},
                 stdout=stream,
                 stderr=subprocess.STDOUT,
@@ -174,14 +190,16 @@
         number: int,
         kind: type[StandInUpstream] = StandInUpstream,
     ) -> StandInUpstream:
-        """Start an upstream that announces itself until the site closes."""
+        """Start an upstream that announces itself until it crashes."""
         address = f"{self._ip(number)}:{self._port}"
         upstream = kind(name, service, address)
-        server = Http1Server(address, upstream.handle, CallerLimits, trio.current_time)
-        await self._nursery.start(server.run)
-        self._nursery.start_soon(self._announce, upstream)
+        await self._nursery.start(self._run_upstream, upstream)
         return upstream
 
+    def crash(self, name: str) -> None:
+        """Close an upstream's listener and connections, and end its announcements."""
+        self._upstream_scopes.pop(name).cancel()
+
     async def operate(self, method: bytes, path: str, body: bytes = b"") -> Received:
         """Send a call to each control host in turn until a status is below 500."""
         with trio.fail_after(_WAIT_SECONDS):
@@ -241,6 +259,19 @@
                 daemon.process.kill()
             daemon.process.wait()
 
+    async def _run_upstream(
+        self, upstream: StandInUpstream, task_status=trio.TASK_STATUS_IGNORED
+    ) -> None:
+        server = Http1Server(
+            upstream.address, upstream.handle, CallerLimits, trio.current_time
+        )
+        with trio.CancelScope() as scope:
+            self._upstream_scopes[upstream.name] = scope
+            async with trio.open_nursery() as nursery:
+                await nursery.start(server.run)
+                nursery.start_soon(self._announce, upstream)
+                task_status.started()
+
     async def _announce(self, upstream: StandInUpstream) -> None:
         while True:
             if upstream.state:
@@ -302,7 +333,7 @@
             "seed_nodes": [f"{self._ip(seed)}:{port + 1}" for seed in seeds],
             "bootstrap": is_first,
             "data_dir": str(self._folder / f"{name}-data") if is_control else None,
-            "bounds": {"grace_s": 6},
+            "bounds": self._bounds,
             "cloud": None,
         }
 
--- a/tests/retry_rule.py
+++ b/standins/retry_rule.py
@@ -1,4 +1,4 @@
-"""Bound on the retries of all hosts together, shared by tests."""
+"""Bound on the retries of all hosts together."""
 
 import bisect
 from collections.abc import Sequence
@@ -21,20 +21,28 @@
     def check(
         self, request_times: Sequence[float], retry_times: Sequence[float]
     ) -> None:
-        """Fail if any window has more retries than the budget allows.
+        """Fail if any window has more retries than the budget allows."""
+        for count, allowed in self.windows(request_times, retry_times):
+            assert count <= allowed, (count, allowed)
+
+    def windows(
+        self, request_times: Sequence[float], retry_times: Sequence[float]
+    ) -> list[tuple[int, float]]:
+        """Return the retries and the permitted ones of the window after each retry.
 
         Both arguments are sorted times. The budget of a window is based on the largest
         number of requests sent in that window, in the window half a length earlier, or
         in the one a full length earlier.
         """
+        windows = []
         for first in retry_times:
             count = _count(retry_times, first, first + self.window)
             request_count = max(
                 _count(request_times, first - shift, first - shift + self.window)
                 for shift in (0.0, self.window / 2, self.window)
             )
-            allowed = self.ratio * request_count + self.allowance
-            assert count <= allowed, (first, count, allowed)
+            windows.append((count, self.ratio * request_count + self.allowance))
+        return windows
 
 
 def _count(times: Sequence[float], begin: float, end: float) -> int:
--- a/tests/relaying/test_retry_windows.py
+++ b/tests/relaying/test_retry_windows.py
@@ -16,8 +16,8 @@
 from pepperstep.fakes.relaying import FakeExchange, Reply, Sent
 from pepperstep.ports.exchange import AnswerHead, CallerGone, RequestHead
 from pepperstep.programs.relay_settings import RelayBounds
+from standins.retry_rule import RetryRule
 from tests.relaying.world import KEY, document, open_world
-from tests.retry_rule import RetryRule
 
 BOUNDS = RelayBounds(retry_ratio=0.2, retry_window=10.0, retry_allowance=180.0)
 RULE = RetryRule(BOUNDS.retry_ratio, BOUNDS.retry_allowance, BOUNDS.retry_window)
--- a/tests/wire/test_restarts.py
+++ b/tests/wire/test_restarts.py
@@ -11,7 +11,7 @@
 
 from pepperstep.ports.exchange import Answer, Exchange
 from standins.platform_site import Site, StandInUpstream
-from tests.retry_rule import RetryRule
+from standins.retry_rule import RetryRule
 from tests.wire.test_signals import SignalingUpstream, send_requests
 from tests.wire.test_wire import KEY, SEEDS, start_all, table
 
