--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -62,6 +62,9 @@
     may_have_run: bool
     reason: str
     after_ms: int
+    # Digest of the content, which is the same if a caller sends it again, "" if the
+    # upstream can't have run it.
+    content: str = ""
 
 
 class RetryAsked(Decision, tag="retry_asked"):
--- a/tests/relaying/test_relay.py
+++ b/tests/relaying/test_relay.py
@@ -7,7 +7,11 @@
 from absl import logging
 
 from pepperstep.fakes.relaying import FakeExchange, Reply
-from pepperstep.observability.decisions import QuotaExceeded, RequestRefused
+from pepperstep.observability.decisions import (
+    QuotaExceeded,
+    RequestFailed,
+    RequestRefused,
+)
 from pepperstep.ports.exchange import AnswerHead, CallerGone
 from tests.relaying.world import document, open_world, request
 
@@ -445,3 +449,18 @@
         exchange = await world.ask("e0:1", request("/safe/1"))
         assert len(world.connector.sent) == 1
         assert exchange.is_aborted and not exchange.is_complete
+
+
+async def test_line_of_a_broken_attempt_has_the_digest_of_its_content(
+    autojump_clock, monkeypatch
+):
+    events = []
+    monkeypatch.setattr(logging, "info", lambda text, *fields: events.extend(fields))
+    async with open_world(entries=2) as world:
+        await serve(world, "plain", breaks)
+        for entry, body in (("e0:1", b"a"), ("e1:1", b"a"), ("e1:1", b"b")):
+            await world.ask(entry, request("/unsafe/1"), body)
+    first, second, other = [
+        each.content for each in events if isinstance(each, RequestFailed)
+    ]
+    assert first == second != other
