--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -2,13 +2,11 @@
 
 import enum
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import trio
 from absl import logging
 
-from pepperstep.coordination import Announcement, UpstreamCatalog, UpstreamKey
-from pepperstep.entities.routes import Route, Service, Workspace
+from pepperstep.coordination import Announcement, UpstreamCatalog
 from pepperstep.ports import Timers
 from pepperstep.ports.exchange import (
     Answer,
@@ -17,14 +15,14 @@
     Exchange,
     UpstreamConnection,
 )
-from pepperstep.ports.relaying import AnswerFacts, Forwarding, RelayWire, RequestFacts
+from pepperstep.ports.relaying import AnswerFacts, Forwarding, RelayWire
 from pepperstep.relay.choice import Choice, Chooser
 from pepperstep.relay.counts import RunCounts
-from pepperstep.relay.events import EventSplitter
 from pepperstep.relay.pools import Pools
+from pepperstep.relay.relayed_request import RelayedRequest
 from pepperstep.relay.signals import AnswerSignals
 
-__all__ = ["AttemptRunner", "Outcome", "OutcomeCallback", "RelayedRequest"]
+__all__ = ["AttemptRunner", "Outcome", "OutcomeCallback"]
 
 # Answers up to this size are read completely before their head is forwarded, so that
 # the request can be retried if the answer breaks off.
@@ -55,55 +53,6 @@
 OutcomeCallback = Callable[[Announcement, str, float | None, float], None]
 
 
-@dataclass(slots=True)
-class RelayedRequest:
-    """A caller's request and the state of its attempts."""
-
-    exchange: Exchange
-    facts: RequestFacts
-    route: Route
-    service: Service
-    # Workspace of the caller, None on public routes.
-    workspace: Workspace | None
-    # 0 is the most urgent.
-    priority: int
-    # Monotonic time by which the caller must have the complete answer.
-    deadline: float
-    # Cost charged to the workspace's quota, in the quota's unit.
-    cost: float = 0.0
-    tried: set[UpstreamKey] = field(default_factory=set)
-    # Attempts that got a connection to an upstream.
-    attempt_count: int = 0
-    # Whether an upstream may have run the request.
-    may_have_run: bool = False
-    is_in_flight: bool = False
-    is_answered: bool = False
-    # Whether the run was counted for usage accounting.
-    is_counted: bool = False
-    # An upstream's error answer, sent to the caller if no retry succeeds.
-    failure_answer: Answer | None = None
-    # The latest attempt's choice, and the monotonic time at which the attempt started.
-    choice: Choice | None = None
-    attempt_started_at: float = 0.0
-    # Called with the upstream's id and a reason when an attempt fails.
-    on_attempt_failed: Callable[[str, str], None] = lambda upstream, reason: None
-    # Monotonic time of the answer's first byte, 0 until then.
-    first_byte_at: float = 0.0
-    # Whether the upstream still has to prefill the prompt.
-    is_prefill_pending: bool = False
-    events: EventSplitter = field(default_factory=EventSplitter)
-
-    @property
-    def workspace_name(self) -> str:
-        """Name of the caller's workspace, "" on public routes."""
-        return "" if self.workspace is None else self.workspace.name
-
-    @property
-    def name(self) -> str:
-        """The request's id in logs."""
-        return self.facts.attempt_id.decode("latin-1")
-
-
 class AttemptRunner:
     """Sends requests to upstreams and forwards their answers to callers."""
 
--- a/src/pepperstep/relay/contents.py
+++ b/src/pepperstep/relay/contents.py
@@ -2,24 +2,24 @@
 
 import xxhash
 
-from pepperstep.relay.attempt import RelayedRequest
+from pepperstep.ports.exchange import Exchange
 
 __all__ = ["content_digest"]
 
 
-def content_digest(request: RelayedRequest) -> int:
+def content_digest(workspace: str, exchange: Exchange) -> int:
     """Return a 64-bit digest of what makes two requests the same to an upstream.
 
     Those are workspace, method, host, target and body. Ids and deadlines differ each
     time that a caller sends the same content.
     """
-    head = request.exchange.head
+    head = exchange.head
     parts = (
-        request.workspace_name.encode(),
+        workspace.encode(),
         head.method,
         head.first(b"host").lower(),
         head.target,
-        request.exchange.body,
+        exchange.body,
     )
     digest = xxhash.xxh3_64()
     for part in parts:
--- a/src/pepperstep/relay/recorder.py
+++ b/src/pepperstep/relay/recorder.py
@@ -15,11 +15,10 @@
 from pepperstep.observability.relay_metrics import RelayMetrics
 from pepperstep.ports import Timers
 from pepperstep.ports.exchange import Exchange, RequestHead
-from pepperstep.relay.attempt import RelayedRequest
 from pepperstep.relay.budget import BudgetState
 from pepperstep.relay.choice import Choice
-from pepperstep.relay.contents import content_digest
 from pepperstep.relay.quotas import Admission, QuotaState
+from pepperstep.relay.relayed_request import RelayedRequest
 
 __all__ = ["RelayRecorder"]
 
@@ -73,7 +72,7 @@
             may_have_run=request.may_have_run,
             reason=reason,
             after_ms=self._age_ms(request.exchange),
-            content=f"{content_digest(request):016x}" if request.may_have_run else "",
+            content=f"{request.content:016x}" if request.may_have_run else "",
         )
         logging.info("relay: %s", event)
 
--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -10,13 +10,14 @@
 from pepperstep.ports import Timers
 from pepperstep.ports.exchange import CallerGone, Exchange
 from pepperstep.ports.relaying import RelayWire, RequestFacts
-from pepperstep.relay.attempt import AttemptRunner, Outcome, RelayedRequest
+from pepperstep.relay.attempt import AttemptRunner, Outcome
 from pepperstep.relay.budget import RetryBudget
 from pepperstep.relay.choice import Choice, Chooser
 from pepperstep.relay.permits import Permits
 from pepperstep.relay.quota_claims import QuotaClaims
 from pepperstep.relay.quotas import Quotas
 from pepperstep.relay.recorder import RelayRecorder
+from pepperstep.relay.relayed_request import RelayedRequest
 from pepperstep.tasks import run_beside
 
 __all__ = ["Relay"]
--- /dev/null
+++ b/src/pepperstep/relay/relayed_request.py
@@ -0,0 +1,71 @@
+"""A caller's request while this host forwards it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from pepperstep.coordination import UpstreamKey
+from pepperstep.entities.routes import Route, Service, Workspace
+from pepperstep.ports.exchange import Answer, Exchange
+from pepperstep.ports.relaying import RequestFacts
+from pepperstep.relay.choice import Choice
+from pepperstep.relay.contents import content_digest
+from pepperstep.relay.events import EventSplitter
+
+__all__ = ["RelayedRequest"]
+
+
+@dataclass(slots=True)
+class RelayedRequest:
+    """A caller's request and the state of its attempts."""
+
+    exchange: Exchange
+    facts: RequestFacts
+    route: Route
+    service: Service
+    # Workspace of the caller, None on public routes.
+    workspace: Workspace | None
+    # 0 is the most urgent.
+    priority: int
+    # Monotonic time by which the caller must have the complete answer.
+    deadline: float
+    # Cost charged to the workspace's quota, in the quota's unit.
+    cost: float = 0.0
+    tried: set[UpstreamKey] = field(default_factory=set)
+    # Attempts that got a connection to an upstream.
+    attempt_count: int = 0
+    # Whether an upstream may have run the request.
+    may_have_run: bool = False
+    is_in_flight: bool = False
+    is_answered: bool = False
+    # Whether the run was counted for usage accounting.
+    is_counted: bool = False
+    # An upstream's error answer, sent to the caller if no retry succeeds.
+    failure_answer: Answer | None = None
+    # The latest attempt's choice, and the monotonic time at which the attempt started.
+    choice: Choice | None = None
+    attempt_started_at: float = 0.0
+    # Called with the upstream's id and a reason when an attempt fails.
+    on_attempt_failed: Callable[[str, str], None] = lambda upstream, reason: None
+    # Monotonic time of the answer's first byte, 0 until then.
+    first_byte_at: float = 0.0
+    # Whether the upstream still has to prefill the prompt.
+    is_prefill_pending: bool = False
+    events: EventSplitter = field(default_factory=EventSplitter)
+    _content: int | None = None
+
+    @property
+    def workspace_name(self) -> str:
+        """Name of the caller's workspace, "" on public routes."""
+        return "" if self.workspace is None else self.workspace.name
+
+    @property
+    def content(self) -> int:
+        """Digest of what is the same if a caller sends the content again."""
+        if self._content is None:
+            self._content = content_digest(self.workspace_name, self.exchange)
+        return self._content
+
+    @property
+    def name(self) -> str:
+        """The request's id in logs."""
+        return self.facts.attempt_id.decode("latin-1")
