Contents that crash one upstream after the other are refused by all hosts

Callers saw: a content that crashes the upstream that runs it crashed one after the other as long as it was sent, and each crash broke all other requests there.

Cause: the relay knew requests by their id only. A caller sends the content again with another id and at another host, so each copy was a new request. Class: each host judges single requests, where the promise is on what several have in common.

Change: hosts count by the content's digest how many runs in succession broke their connection, tell each other through the control hosts, and refuse the content at once from three on, with 503 and the time to come back. A complete answer clears it. Blocks end on one host after the other, and the control hosts' file keeps them.

Why it works: any copy reaches a host that knows the losses of all runs that ended a poll earlier; a run adds one to what was known when it began, so three successive losses are known everywhere well within 3 s of the third crash.

Five mechanisms in proofs/, each red without.

--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -11,6 +11,11 @@
     "tests/relaying/test_retry_windows.py"
     "::test_no_window_exceeds_the_retry_budget_during_faults"
 )
+_CRASHES = "tests/relaying/test_crashing_requests.py::"
+_CRASHING = (
+    f"{_CRASHES}test_content_that_crashed_three_upstreams_hardly_reaches_any_more"
+)
+_SUSPECTS = "tests/relaying/test_suspects.py::"
 _DEPARTURES = "tests/relaying/test_acknowledged_leaving.py::"
 _ACKNOWLEDGED = (
     f"{_DEPARTURES}test_no_host_sends_to_an_upstream_whose_leaving_was_acknowledged"
@@ -390,6 +395,49 @@
         "if is_reachable:",
         (f"{_COORDINATION}test_entry_host_soon_finds_control_hosts_that_start_later",),
     ),
+    Mechanism(
+        8,
+        "a content that has broken three runs is refused",
+        "relay/relay.py",
+        "self._crash_guard.check(request)",
+        "pass",
+        (f"{_CRASHING}[calm-6-0.8]",),
+    ),
+    Mechanism(
+        8,
+        "hosts tell each other which contents break runs",
+        "relay/crash_guard.py",
+        "if await self._publish(pending):",
+        "if True:",
+        (
+            f"{_CRASHES}test_blocked_content_is_refused_at_once_by_hosts_that_never"
+            "_sent_it",
+        ),
+    ),
+    Mechanism(
+        8,
+        "an answer clears a content",
+        "relay/attempt.py",
+        "self._crash_guard.record_answer(request)",
+        "pass",
+        (f"{_CRASHES}test_content_that_broke_off_by_chance_is_served_again[4]",),
+    ),
+    Mechanism(
+        8,
+        "runs that break at the same time count once",
+        "coordination/suspects.py",
+        "LossCount(before.generation, before.losses + 1)",
+        "LossCount(before.generation, self.count_of(digest).losses + 1)",
+        (f"{_SUSPECTS}test_runs_that_break_at_the_same_time_count_once",),
+    ),
+    Mechanism(
+        8,
+        "contents outlive a loss of power of all hosts",
+        "coordination/hints.py",
+        "self._suspects.merge(hints.suspects)",
+        "pass",
+        (f"{_CRASHES}test_blocked_content_stays_blocked_after_a_loss_of_all_power",),
+    ),
     Mechanism(
         8,
         "retries draw on a budget",
--- a/src/pepperstep/coordination/__init__.py
+++ b/src/pepperstep/coordination/__init__.py
@@ -12,6 +12,7 @@
     StatedLimit,
     UpstreamKey,
 )
+from pepperstep.coordination.suspects import SuspectContents
 from pepperstep.coordination.sync_client import SyncClient, SyncSettings
 from pepperstep.coordination.sync_server import SyncServer
 from pepperstep.coordination.tables import (
@@ -36,6 +37,7 @@
     "Autoscaler",
     "ServiceWork",
     "StatedLimit",
+    "SuspectContents",
     "SyncClient",
     "SyncSettings",
     "TableMachine",
--- a/src/pepperstep/coordination/hints.py
+++ b/src/pepperstep/coordination/hints.py
@@ -16,6 +16,7 @@
 
 from pepperstep.coordination.entry_host_catalog import EntryHostCatalog
 from pepperstep.coordination.records import Announcement
+from pepperstep.coordination.suspects import SuspectContents
 from pepperstep.coordination.table_updates import Document, compress, decompress
 from pepperstep.coordination.tables import TableStore
 from pepperstep.coordination.upstream_catalog import UpstreamCatalog
@@ -49,7 +50,7 @@
 
 
 class Hints:
-    """The file with the table, upstreams, roll-outs and entry host count."""
+    """The file with the table, upstreams, roll-outs, suspects and entry host count."""
 
     def __init__(
         self,
@@ -59,6 +60,7 @@
         entries: EntryHostCatalog,
         timers: Timers,
         rollouts: RolloutHints,
+        suspects: SuspectContents,
     ):
         self._storage = storage
         self._tables = tables
@@ -66,7 +68,8 @@
         self._entries = entries
         self._timers = timers
         self._rollouts = rollouts
-        self._written_versions = (0, 0, 0, 0)
+        self._suspects = suspects
+        self._written_versions = (0, 0, 0, 0, 0)
         self._lock = trio.Lock()
         # Document with its compressed bytes; upstreams change more often.
         self._document = Document()
@@ -89,6 +92,7 @@
             self._catalog.record(announcement, told_by=_FILE)
         self._entries.expect(hints.entry_count)
         self._rollouts.expect(hints.rollouts)
+        self._suspects.merge(hints.suspects)
         logging.info(
             "hints: Loaded table version %d and %d upstreams.",
             hints.table_version,
@@ -111,6 +115,7 @@
                 self._catalog.version,
                 self._entries.count,
                 self._rollouts.index,
+                self._suspects.urgent_version,
             )
             if state != self._written_versions:
                 await self._storage.replace(_FILE, self._encode())
@@ -127,6 +132,7 @@
             ],
             entry_count=self._entries.count,
             rollouts=self._rollouts.messages(),
+            suspects=self._suspects.messages_since(0),
         )
         return hints.SerializeToString()
 
--- a/src/pepperstep/coordination/sync_client.py
+++ b/src/pepperstep/coordination/sync_client.py
@@ -15,6 +15,7 @@
 
 from pepperstep.coordination.directory import Directory
 from pepperstep.coordination.records import Announcement, EntryReport, StatedLimit
+from pepperstep.coordination.suspects import SuspectContents
 from pepperstep.coordination.table_fetcher import FetchSettings, TableFetcher
 from pepperstep.coordination.tables import TableStore
 from pepperstep.coordination.upstream_catalog import UpstreamCatalog
@@ -68,6 +69,7 @@
     epoch: int = 0
     version: int = 0
     entries_version: int = 0
+    suspects_version: int = 0
     # Latest report that the control host has; None after a request without a reply, as
     # it may have lost its state.
     reported: EntryReport | None = None
@@ -103,6 +105,7 @@
         timers: Timers,
         tables: TableStore,
         catalog: UpstreamCatalog,
+        suspects: SuspectContents,
         report: Callable[[], EntryReport] | None = None,
         settings: SyncSettings | None = None,
     ):
@@ -112,6 +115,7 @@
         self._timers = timers
         self._tables = tables
         self._catalog = catalog
+        self._suspects = suspects
         self._report = report
         self._settings = settings or SyncSettings()
         delay = 0.0 if report is not None else self._settings.log_delay
@@ -297,6 +301,7 @@
             entries_version=control_host.entries_version,
             is_source=self._is_publisher(name),
             rollouts_index=self.rollouts_index(),
+            suspects_version=control_host.suspects_version,
         )
         report = None if self._report is None else self._report()
         if report is not None:
@@ -345,6 +350,8 @@
                 told_at = self._timers.now() - age
                 limit = StatedLimit.from_message(message.limit, told_at)
                 self._catalog.record_limit(announcement.key, limit, name)
+        self._suspects.merge(reply.suspects, age)
+        control_host.suspects_version = reply.suspects_version
         control_host.version = reply.registry_version
         control_host.entries_version = reply.entries_version
         is_new_epoch = control_host.epoch != reply.registry_epoch
--- a/src/pepperstep/coordination/sync_server.py
+++ b/src/pepperstep/coordination/sync_server.py
@@ -15,6 +15,7 @@
     StatedLimit,
     counts_to_messages,
 )
+from pepperstep.coordination.suspects import SuspectContents
 from pepperstep.coordination.table_history import TableHistory
 from pepperstep.coordination.tables import TableStore
 from pepperstep.coordination.upstream_catalog import UpstreamCatalog
@@ -66,6 +67,7 @@
         tables: TableStore,
         catalog: UpstreamCatalog,
         entries: EntryHostCatalog,
+        suspects: SuspectContents,
         control_hosts: Callable[[], list[str]],
         voters: Callable[[], list[str]],
         departures: Departures,
@@ -86,6 +88,8 @@
         self._epoch = epoch
         self._is_in_contact = is_in_contact
         self._entries = entries
+        self._suspects = suspects
+        suspects.subscribe(self._wake_all)
         self._started_at = timers.now()
         self._changed = trio.Event()
         catalog.subscribe(self._wake_waiting)
@@ -100,6 +104,7 @@
         peers.handle(pb.SyncRequest, self._on_sync)
         peers.handle(pb.TableRequest, self._on_table)
         peers.handle(pb.AnswerNotice, self._on_answer_notice)
+        peers.handle(pb.SuspectNotice, self._on_suspect_notice)
 
     async def receive_announcement(self, announcement: Announcement) -> None:
         """Merge an upstream's announcement.
@@ -182,6 +187,12 @@
             self._catalog.mark_leaving(upstream, sender)
         return pb.AnswerNoticeReply()
 
+    async def _on_suspect_notice(
+        self, message: pb.SuspectNotice, sender: str
+    ) -> pb.SuspectNoticeReply:
+        self._suspects.merge(message.contents)
+        return pb.SuspectNoticeReply()
+
     async def _on_sync(self, request: pb.SyncRequest, sender: str) -> pb.SyncReply:
         if request.HasField("entry"):
             is_known = request.registry_epoch == self._epoch
@@ -206,6 +217,7 @@
         )
         self._add_upstreams(request, reply)
         self._add_rollouts(request, reply)
+        self._add_suspects(request, reply)
         if request.is_control:
             self._add_entries(request, reply)
         else:
@@ -233,9 +245,14 @@
             return True
         if self._has_newer_rollouts(request):
             return True
+        if request.suspects_version < self._suspects.urgent_version:
+            return True
         return request.table_version < self._tables.current.version
 
     def _wake_waiting(self, _: object) -> None:
+        self._wake_all()
+
+    def _wake_all(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
 
@@ -266,6 +283,11 @@
         if self._rollouts is not None:
             reply.judge = self._rollouts.judge()
 
+    def _add_suspects(self, request: pb.SyncRequest, reply: pb.SyncReply) -> None:
+        since = 0 if reply.is_whole else request.suspects_version
+        reply.suspects.extend(self._suspects.messages_since(since))
+        reply.suspects_version = self._suspects.version
+
     def _add_directory(self, request: pb.SyncRequest, reply: pb.SyncReply) -> None:
         """Add the directory for callers if the requesting entry host has another one.
 
--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -7,6 +7,7 @@
 import msgspec
 
 __all__ = [
+    "ContentSuspected",
     "Decision",
     "DutyTaken",
     "EntryContact",
@@ -67,6 +68,19 @@
     content: str = ""
 
 
+class ContentSuspected(Decision, tag="content_suspected"):
+    """A run of a content ended with a broken connection."""
+
+    # Digest of the content, and its successive losses.
+    content: str
+    losses: int
+    # Whether it's refused for now.
+    is_blocked: bool
+    request: str
+    upstream: str
+    service: str
+
+
 class RetryAsked(Decision, tag="retry_asked"):
     """A request asked its host's retry budget for another attempt.
 
--- a/src/pepperstep/programs/control_host.py
+++ b/src/pepperstep/programs/control_host.py
@@ -11,6 +11,7 @@
     Autoscaler,
     EntryHostCatalog,
     LeaderLease,
+    SuspectContents,
     SyncClient,
     SyncServer,
     TableMachine,
@@ -84,6 +85,7 @@
         self.agreement.register(ROLLOUT_MACHINE, self._rollout_machine)
         self.catalog = UpstreamCatalog(ports.timers.now, self._peer_name)
         self.entries = EntryHostCatalog(ports.timers.now)
+        self._suspects = SuspectContents(ports.timers.now)
         self.sync = SyncClient(
             self._peer_name,
             settings.seeds,
@@ -91,6 +93,7 @@
             ports.timers,
             self.tables,
             self.catalog,
+            self._suspects,
         )
         self._contact = QuorumMonitor(
             self._peer_name,
@@ -118,6 +121,7 @@
             self.entries,
             ports.timers,
             self.rollouts,
+            self._suspects,
         )
         entry_host_progress = EntryHostProgress(ports.timers)
         departures = Departures(
@@ -137,6 +141,7 @@
             self.tables,
             self.catalog,
             self.entries,
+            self._suspects,
             self._control_hosts,
             self.agreement.voters,
             departures,
@@ -261,4 +266,5 @@
         async for _ in self._timers.subscribe(_CLEAN_UP_SECONDS):
             self._silence_detector.check()
             self.catalog.forget_silent(_FORGET_SECONDS)
+            self._suspects.forget_old()
             self.entries.log_contact_changes()
--- a/src/pepperstep/programs/entry_host.py
+++ b/src/pepperstep/programs/entry_host.py
@@ -1,12 +1,14 @@
 """Assembly of an entry host, which relays callers' requests to upstreams."""
 
 import trio
+import xxhash
 from absl import logging
 
 from pepperstep.coordination import (
     Announcement,
     EntryReport,
     HostShare,
+    SuspectContents,
     SyncClient,
     TableStore,
     UpstreamCatalog,
@@ -29,6 +31,7 @@
 from pepperstep.relay.attempt import AttemptRunner
 from pepperstep.relay.backoff import Backoff
 from pepperstep.relay.budget import BudgetSettings
+from pepperstep.relay.crash_guard import CrashGuard
 from pepperstep.relay.keepers import KeyOwners
 from pepperstep.relay.permits import Permits
 from pepperstep.relay.prompts import PrefillTracker
@@ -68,6 +71,7 @@
         self.metrics = RelayMetrics()
         self.tables = TableStore(ports.decode)
         self.catalog = UpstreamCatalog(now)
+        self._suspects = SuspectContents(now, _stagger_of(settings.peer_address))
         self.sync = SyncClient(
             settings.peer_address,
             settings.seeds,
@@ -75,6 +79,7 @@
             ports.timers,
             self.tables,
             self.catalog,
+            self._suspects,
             self._report,
         )
         bounds = settings.bounds
@@ -125,6 +130,9 @@
             ports.timers,
             lambda: self.sync.reached,
         )
+        self._crash_guard = CrashGuard(
+            self._suspects, ports.peers, ports.timers, lambda: self.sync.reached
+        )
         self._chooser = Chooser(
             self.catalog,
             self._pools,
@@ -151,6 +159,7 @@
             self._chooser,
             self._counts,
             self._signals,
+            self._crash_guard,
             ports.timers,
             self._record_outcome,
         )
@@ -164,6 +173,7 @@
             self._quotas,
             claims,
             budget,
+            self._crash_guard,
             RelayRecorder(self.metrics, self.tables, self.catalog, ports.timers),
             ports.timers,
             ports.rng,
@@ -193,6 +203,7 @@
             nursery.start_soon(self._shared_load.run)
             nursery.start_soon(self._observer.run)
             nursery.start_soon(self._signals.run)
+            nursery.start_soon(self._crash_guard.run)
             nursery.start_soon(self._permits.run)
             nursery.start_soon(self._clean_up)
             task_status.started()
@@ -313,6 +324,7 @@
 
     def _handle_reply(self, control_host: str, reply: pb.SyncReply, age: float) -> None:
         self._silence_votes.record_reply(control_host, reply)
+        self._crash_guard.record_epoch(control_host, reply.registry_epoch)
         if reply.is_in_contact:
             self._host_share.record_host_count(self.sync.entry_count)
         self._apply_rollouts(reply)
@@ -320,5 +332,11 @@
     async def _clean_up(self) -> None:
         async for _ in self._timers.subscribe(_CLEAN_UP_SECONDS):
             self.catalog.forget_silent(_FORGET_SECONDS)
+            self._suspects.forget_old()
             self._pools.close_expired()
             self._permits.drop_idle()
+
+
+def _stagger_of(name: str) -> float:
+    """Return a number from 0 to 1 that differs between hosts."""
+    return xxhash.xxh64_intdigest(name.encode()) / 2**64
--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -18,6 +18,7 @@
 from pepperstep.ports.relaying import AnswerFacts, Forwarding, RelayWire
 from pepperstep.relay.choice import Choice, Chooser
 from pepperstep.relay.counts import RunCounts
+from pepperstep.relay.crash_guard import CrashGuard
 from pepperstep.relay.pools import Pools
 from pepperstep.relay.relayed_request import RelayedRequest
 from pepperstep.relay.signals import AnswerSignals
@@ -64,6 +65,7 @@
         chooser: Chooser,
         counts: RunCounts,
         signals: AnswerSignals,
+        crash_guard: CrashGuard,
         timers: Timers,
         on_outcome: OutcomeCallback = lambda upstream, route, seconds, expected: None,
     ):
@@ -73,6 +75,7 @@
         self._chooser = chooser
         self._counts = counts
         self._signals = signals
+        self._crash_guard = crash_guard
         self._timers = timers
         self._on_outcome = on_outcome
 
@@ -87,11 +90,14 @@
         request.attempt_started_at = self._timers.now()
         request.is_prefill_pending = bool(request.facts.prompt_parts)
         self._chooser.begin(choice, request.facts)
+        self._crash_guard.begin(request)
         outcome = None
         is_healthy = True
         try:
             outcome = await self._send(request, upstream)
             is_healthy = outcome is not Outcome.FAILED
+            if outcome is not Outcome.NOT_RUN:
+                self._crash_guard.record_answer(request)
         except ConnectionFault as fault:
             is_healthy = False
             outcome = self._record_fault(request, upstream, fault)
@@ -331,6 +337,7 @@
         request.may_have_run = request.may_have_run or fault.was_sent
         if fault.was_sent:
             self._count_run(request)
+            self._crash_guard.record_loss(request)
         request.on_attempt_failed(upstream.id, fault.text)
         return Outcome.FAILED if fault.was_sent else Outcome.NOT_RUN
 
--- /dev/null
+++ b/src/pepperstep/relay/crash_guard.py
@@ -0,0 +1,138 @@
+"""Blocks contents that crash one upstream after the other.
+
+A caller that sends a content again uses a new request id, and may use another host. So
+hosts recognise contents by digest, and tell each other through the control hosts.
+"""
+
+from collections.abc import Callable
+
+import trio
+from absl import logging
+
+from pepperstep.coordination import SuspectContents
+from pepperstep.coordination.suspects import BLOCKING_LOSSES, NO_LOSSES
+from pepperstep.errors import Code, Failure
+from pepperstep.observability.decisions import ContentSuspected
+from pepperstep.ports import PeerNetwork, Timers
+from pepperstep.proto import coordination_pb2 as pb
+from pepperstep.relay.relayed_request import RelayedRequest
+
+__all__ = ["CrashGuard"]
+
+_NOTICE_TIMEOUT_SECONDS = 0.3
+# Pause between two rounds of notices. Many runs break at once when an upstream fails.
+_NOTICE_PAUSE_SECONDS = 0.05
+_NOTICE_RETRY_SECONDS = 0.5
+
+
+class CrashGuard:
+    """Counts the losses of contents, and blocks those with too many.
+
+    `control_hosts` returns the control hosts in reach.
+    """
+
+    def __init__(
+        self,
+        suspects: SuspectContents,
+        peers: PeerNetwork,
+        timers: Timers,
+        control_hosts: Callable[[], list[str]],
+    ):
+        self._suspects = suspects
+        self._peers = peers
+        self._timers = timers
+        self._control_hosts = control_hosts
+        # Contents that no control host has taken yet.
+        self._pending: set[int] = set()
+        self._has_pending = trio.Event()
+        self._epochs: dict[str, int] = {}
+
+    def check(self, request: RelayedRequest) -> None:
+        """Raise `Failure` with `CRASHING_REQUEST` if the request is blocked."""
+        seconds = self._blocked_seconds(request)
+        if seconds:
+            text = "This content has crashed upstreams each time it was sent."
+            raise Failure(Code.CRASHING_REQUEST, text, retry_after=seconds)
+
+    def is_blocked(self, request: RelayedRequest) -> bool:
+        """Whether the request must not be sent to another upstream."""
+        return self._blocked_seconds(request) > 0
+
+    def begin(self, request: RelayedRequest) -> None:
+        """Keep the losses that are known when a run begins."""
+        request.losses_before = NO_LOSSES
+        if not self._suspects.is_empty:
+            request.losses_before = self._suspects.count_of(request.content)
+
+    def record_loss(self, request: RelayedRequest) -> None:
+        """Record that a run ended with a broken connection."""
+        if not self._suspects.record_loss(request.content, request.losses_before):
+            return
+        self._queue_notice(request.content)
+        losses = self._suspects.count_of(request.content).losses
+        event = ContentSuspected(
+            content=f"{request.content:016x}",
+            losses=losses,
+            is_blocked=losses >= BLOCKING_LOSSES,
+            request=request.name,
+            upstream=request.choice.upstream.id,
+            service=request.service.name,
+        )
+        logging.info("crashes: %s", event)
+
+    def record_answer(self, request: RelayedRequest) -> None:
+        """Record that an upstream has run a request and is still there."""
+        if self._suspects.is_empty:
+            return
+        if self._suspects.record_answer(request.content):
+            self._queue_notice(request.content)
+
+    def record_epoch(self, control_host: str, epoch: int) -> None:
+        """Send a control host that has just started all that this host knows."""
+        if self._epochs.get(control_host) == epoch:
+            return
+        self._epochs[control_host] = epoch
+        for content in self._suspects.digests():
+            self._queue_notice(content)
+
+    async def run(self) -> None:
+        """Send notices to the control hosts until cancelled."""
+        while True:
+            await self._has_pending.wait()
+            pending, self._pending = self._pending, set()
+            self._has_pending = trio.Event()
+            if await self._publish(pending):
+                await self._timers.sleep(_NOTICE_PAUSE_SECONDS)
+                continue
+            await self._timers.sleep(_NOTICE_RETRY_SECONDS)
+            for content in pending:
+                self._queue_notice(content)
+
+    def _blocked_seconds(self, request: RelayedRequest) -> float:
+        if self._suspects.is_empty:
+            return 0.0
+        return self._suspects.blocked_seconds(request.content)
+
+    def _queue_notice(self, content: int) -> None:
+        self._pending.add(content)
+        self._has_pending.set()
+
+    async def _publish(self, contents: set[int]) -> bool:
+        """Notify the control hosts in reach; return whether one has answered."""
+        notice = pb.SuspectNotice(contents=self._suspects.messages_of(sorted(contents)))
+        answered: list[str] = []
+
+        async def send(control_host: str) -> None:
+            try:
+                await self._peers.call(control_host, notice, _NOTICE_TIMEOUT_SECONDS)
+            except Failure as failure:
+                logging.info(
+                    "crashes: notice to %s failed: %s", control_host, failure.text
+                )
+            else:
+                answered.append(control_host)
+
+        async with trio.open_nursery() as nursery:
+            for control_host in self._control_hosts():
+                nursery.start_soon(send, control_host)
+        return bool(answered)
--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -13,6 +13,7 @@
 from pepperstep.relay.attempt import AttemptRunner, Outcome
 from pepperstep.relay.budget import RetryBudget
 from pepperstep.relay.choice import Choice, Chooser
+from pepperstep.relay.crash_guard import CrashGuard
 from pepperstep.relay.permits import Permits
 from pepperstep.relay.quota_claims import QuotaClaims
 from pepperstep.relay.quotas import Quotas
@@ -54,6 +55,7 @@
         quotas: Quotas,
         claims: QuotaClaims,
         budget: RetryBudget,
+        crash_guard: CrashGuard,
         recorder: RelayRecorder,
         timers: Timers,
         rng: random.Random,
@@ -68,6 +70,7 @@
         self._quotas = quotas
         self._claims = claims
         self._budget = budget
+        self._crash_guard = crash_guard
         self._recorder = recorder
         self._timers = timers
         self._rng = rng
@@ -155,6 +158,7 @@
 
     async def _admit(self, request: RelayedRequest) -> None:
         """Charge the request to its quota; raise `Failure` if it's refused."""
+        self._crash_guard.check(request)
         if request.route.is_stream and not self._accepts_streams():
             text = "This host is about to end."
             raise Failure(Code.DRAINING, text, retry_after=0.0)
@@ -257,6 +261,8 @@
     def _may_retry(self, request: RelayedRequest, outcome: Outcome) -> bool:
         if request.attempt_count >= request.route.max_attempts:
             return False
+        if self._crash_guard.is_blocked(request):
+            return False
         if outcome is Outcome.NOT_RUN:
             return True
         if request.exchange.has_begun and not request.route.is_stream:
