A content isn't blocked for losses at upstreams that still answer

Cause: a reset connection and a crash look the same to the host that sent the request. Change: hosts keep at which upstreams a content broke its runs, in rounds. An upstream that answers a request sent after a loss hasn't crashed, so its loss stops counting, on all hosts. Losses are merged as sets in place of a highest number.

--- a/measure/site_play.py
+++ b/measure/site_play.py
@@ -45,6 +45,8 @@
 # Mean seconds until a crashing content comes again.
 _CRASHING_PAUSE_SECONDS = 0.8
 _FAULT_PAUSE_SECONDS = 2.0
+# Interval at which the delay of this process itself is measured.
+_LAG_SECONDS = 0.02
 _STATUSES_NOT_RUN = frozenset((408, 421, 429, 503))
 _NOT_EXECUTED = (b"pepperstep-not-executed", b"1")
 
@@ -166,6 +168,7 @@
         self.log = ArrivalLog()
         self.statuses: Counter[str] = Counter()
         self.crash_count = 0
+        self.max_lag = 0.0
         self._nursery = nursery
         self._upstreams: dict[str, _PlayedUpstream] = {}
         self._numbers = itertools.count(_FIRST_UPSTREAM_NUMBER)
@@ -191,6 +194,7 @@
         """Run the load and the faults."""
         with trio.move_on_after(seconds):
             async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._measure_lag)
                 for each in _CLASSES:
                     nursery.start_soon(self._call_forever, each, nursery)
                 for number in range(_CRASHING.value):
@@ -215,6 +219,7 @@
             "arrivals": len(self.log.arrivals),
             "statuses": dict(self.statuses),
             "crashes": self.crash_count,
+            "max_lag": round(self.max_lag, 3),
             "fullest_window": {
                 service: f"{count} of {allowed:.0f}"
                 for service, (count, allowed) in fullest.items()
@@ -226,6 +231,12 @@
             "crashing_exceeded": self.log.has_crashing_excess(),
         }
 
+    async def _measure_lag(self) -> None:
+        while True:
+            expected = trio.current_time() + _LAG_SECONDS
+            await trio.sleep(_LAG_SECONDS)
+            self.max_lag = max(self.max_lag, trio.current_time() - expected)
+
     async def _replace(self, service: str) -> None:
         await trio.sleep(_BACK_SECONDS)
         await self._add_upstream(service)
@@ -238,9 +249,18 @@
         self._upstreams[name] = upstream
 
     def _start_host(self, name: str, *, is_first: bool) -> None:
+        self._record_disturbance(name)
         number = int(name.rpartition("-")[2])
         self.site.start(name, number, is_first=is_first, seeds=_CONTROL_NUMBERS)
 
+    def _signal(self, name: str, number: signal.Signals) -> None:
+        self._record_disturbance(name)
+        self.site.daemons[name].stop(number)
+
+    def _record_disturbance(self, name: str) -> None:
+        host = name if name.startswith("entry") else ""
+        self.log.disturb(host, trio.current_time())
+
     def _entries(self) -> list[str]:
         return [name for name in self.site.daemons if name.startswith("entry")]
 
@@ -284,17 +304,22 @@
         self, kind: CallerClass, body: bytes, crashing: str, wait: float
     ) -> Received | None:
         name = f"a-{next(self._ids)}".encode()
-        sending = Sending(
-            name, kind.service, trio.current_time(), wait, kind.max_attempts, crashing
+        entry = self.rng.choice(self._entries())
+        self.log.sendings[name] = Sending(
+            name,
+            kind.service,
+            trio.current_time(),
+            wait,
+            kind.max_attempts,
+            crashing,
+            entry,
         )
-        self.log.sendings[name] = sending
         path = f"/{kind.name}/{body.decode().replace(' ', '-')}"
         headers = (
             (b"pepperstep-attempt-id", name),
             (b"pepperstep-deadline-ms", b"%d" % (1000 * wait)),
         )
         with trio.move_on_after(wait):
-            entry = self.rng.choice(self._entries())
             return await self.site.request(entry, path, _KEY, *headers, body=body)
         return None
 
@@ -355,7 +380,7 @@
     async def _kill(self, names: list[str], share: float) -> None:
         drawn = self.rng.sample(names, max(1, round(share * len(names))))
         for name in drawn:
-            self.site.daemons[name].stop(signal.SIGKILL)
+            self._signal(name, signal.SIGKILL)
         await trio.sleep(self.rng.uniform(0.1, 3.0))
         for name in drawn:
             daemon = self.site.daemons[name]
@@ -365,10 +390,10 @@
     async def _stop_hosts(self) -> None:
         names = self.rng.sample([*self.site.daemons], 1)
         for name in names:
-            self.site.daemons[name].stop(signal.SIGSTOP)
+            self._signal(name, signal.SIGSTOP)
         await trio.sleep(self.rng.uniform(0.5, 4.0))
         for name in names:
-            self.site.daemons[name].stop(signal.SIGCONT)
+            self._signal(name, signal.SIGCONT)
 
     async def _storm(self) -> None:
         self._load = _LOAD.value * self.rng.choice([1.7, 3.0])
--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -1,6 +1,6 @@
 """Mechanisms of the relay and its coordination, and the tests that fail without."""
 
-from proofs.mechanism import Mechanism
+from proofs.mechanism import Cut, Mechanism
 
 __all__ = ["RELAY_MECHANISMS"]
 
@@ -421,15 +421,31 @@
         "self._crash_guard.record_answer(request)",
         "pass",
         (f"{_CRASHES}test_content_that_broke_off_by_chance_is_served_again[4]",),
+        (
+            Cut(
+                "relay/attempt.py",
+                "self._crash_guard.record_alive(upstream.key, "
+                "request.attempt_started_at)",
+                "pass",
+            ),
+        ),
     ),
     Mechanism(
         8,
         "runs that break at the same time count once",
         "coordination/suspects.py",
-        "LossCount(before.generation, before.losses + 1)",
-        "LossCount(before.generation, self.count_of(digest).losses + 1)",
+        "loss = _Loss(before.round + 1, self._now())",
+        "loss = _Loss(self.suspicion_of(digest).round + 1, self._now())",
         (f"{_SUSPECTS}test_runs_that_break_at_the_same_time_count_once",),
     ),
+    Mechanism(
+        8,
+        "an upstream that answers hasn't crashed",
+        "relay/attempt.py",
+        "self._crash_guard.record_alive(upstream.key, request.attempt_started_at)",
+        "pass",
+        (f"{_CRASHES}test_content_is_not_blocked_while_its_upstreams_answer_others",),
+    ),
     Mechanism(
         8,
         "contents outlive a loss of power of all hosts",
--- a/src/pepperstep/coordination/suspects.py
+++ b/src/pepperstep/coordination/suspects.py
@@ -1,23 +1,26 @@
 """Contents that are suspected of crashing the upstreams that run them.
 
 A loss of a content is a run that ended with a broken connection. Losses are counted in
-succession: a run adds one to the losses that its host knew when the run began. So the
-runs that one event breaks at the same time count once, and hosts merge their counts by
-keeping the highest. A complete answer clears the losses of its content.
+rounds: a run belongs to the round after the last one that its host knew when the run
+began, so runs that one event breaks are of one round. An upstream that answers a
+request sent after a loss hasn't crashed, and its loss doesn't count. A complete answer
+clears all losses of its content. Hosts merge what they know as sets, in any order.
 """
 
+from collections import defaultdict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from pepperstep.coordination.records import UpstreamKey
 from pepperstep.proto import coordination_pb2 as pb
 
-__all__ = ["BLOCKING_LOSSES", "NO_LOSSES", "LossCount", "SuspectContents"]
+__all__ = ["BLOCKING_ROUNDS", "NO_SUSPICION", "Suspicion", "SuspectContents"]
 
-# Successive losses from which a content is blocked. One or two may be due to failures
-# of the upstreams.
-BLOCKING_LOSSES = 3
-# Duration of the first block in seconds. Each further loss multiplies it, up to the
+# Rounds of losses from which a content is blocked. One or two may be due to failures of
+# the upstreams.
+BLOCKING_ROUNDS = 3
+# Duration of the first block in seconds. Each further round multiplies it, up to the
 # maximum.
 _FIRST_BLOCK_SECONDS = 60.0
 _BLOCK_FACTOR = 4.0
@@ -26,29 +29,52 @@
 # the longest block, so that a content that is tried after it and crashes another
 # upstream is blocked again at once.
 _FORGET_SECONDS = 1_500.0
-_MAX_CONTENTS = 1_000
-# Losses from which other hosts are told at once instead of with the next poll. Many
+_MAX_CONTENTS = 500
+# Losses that are kept of a content, those of the latest rounds.
+_MAX_LOSSES = 8
+# Rounds from which other hosts are told at once instead of with the next poll. Many
 # runs break once when upstreams fail.
-_URGENT_LOSSES = 2
+_URGENT_ROUNDS = 2
 
 
-class LossCount(NamedTuple):
-    """Successive losses of a content; a higher count is newer."""
+class Suspicion(NamedTuple):
+    """What a host knew of a content when a run began."""
 
-    # Number of complete answers that have cleared the losses.
+    # Number of complete answers that have cleared the content.
     generation: int
-    losses: int
+    # Latest round of losses.
+    round: int
 
 
-NO_LOSSES = LossCount(0, 0)
+NO_SUSPICION = Suspicion(0, 0)
+
+
+@dataclass(slots=True)
+class _Loss:
+    round: int
+    # Monotonic time of the broken connection.
+    time: float
+    # Whether the upstream has answered a later request.
+    is_alive: bool = False
 
 
 @dataclass(slots=True)
 class _Content:
-    count: LossCount
-    changed_at: float
+    generation: int = 0
+    losses: dict[UpstreamKey, _Loss] = field(default_factory=dict)
+    changed_at: float = 0.0
     # Value of `SuspectContents.version` at its latest change on this host.
-    version: int
+    version: int = 0
+
+    @property
+    def counted(self) -> list[_Loss]:
+        """Losses whose upstreams haven't answered since."""
+        return [loss for loss in self.losses.values() if not loss.is_alive]
+
+    @property
+    def rounds(self) -> int:
+        """Number of rounds with a loss that counts."""
+        return len({loss.round for loss in self.counted})
 
 
 class SuspectContents:
@@ -62,6 +88,8 @@
         self._now = now
         self._stagger = stagger
         self._contents: dict[int, _Content] = {}
+        # Digests of the contents with a loss at an upstream.
+        self._lost: defaultdict[UpstreamKey, set[int]] = defaultdict(set)
         self._subscribers: list[Callable[[], None]] = []
         # Numbers of the latest change and of the latest urgent one.
         self.version = 0
@@ -76,42 +104,77 @@
         """Call `subscriber` after each urgent change."""
         self._subscribers.append(subscriber)
 
-    def count_of(self, digest: int) -> LossCount:
-        """Return the losses of a content."""
+    def suspicion_of(self, digest: int) -> Suspicion:
+        """Return what a run that begins now has to keep."""
         content = self._contents.get(digest)
-        return NO_LOSSES if content is None else content.count
+        if content is None:
+            return NO_SUSPICION
+        rounds = (loss.round for loss in content.losses.values())
+        return Suspicion(content.generation, max(rounds, default=0))
+
+    def rounds_of(self, digest: int) -> int:
+        """Return the number of rounds of losses of a content."""
+        content = self._contents.get(digest)
+        return 0 if content is None else content.rounds
 
     def blocked_seconds(self, digest: int) -> float:
         """Return the seconds until a content may be sent again, 0 if it may be now."""
         content = self._contents.get(digest)
-        if content is None or content.count.losses < BLOCKING_LOSSES:
+        if content is None or content.rounds < BLOCKING_ROUNDS:
             return 0.0
-        further = content.count.losses - BLOCKING_LOSSES
+        further = content.rounds - BLOCKING_ROUNDS
         seconds = min(_FIRST_BLOCK_SECONDS * _BLOCK_FACTOR**further, _MAX_BLOCK_SECONDS)
-        until = content.changed_at + (1.0 + self._stagger) * seconds
-        return max(0.0, until - self._now())
+        latest = max(loss.time for loss in content.counted)
+        return max(0.0, latest + (1.0 + self._stagger) * seconds - self._now())
 
-    def record_loss(self, digest: int, before: LossCount) -> bool:
-        """Record a loss of a run that began when the losses were `before`.
+    def record_loss(
+        self, digest: int, upstream: UpstreamKey, before: Suspicion
+    ) -> bool:
+        """Record a loss of a run that began with the suspicion `before`.
 
-        Return False if a newer count is known already.
+        Return False if that changes nothing.
         """
-        count = LossCount(before.generation, before.losses + 1)
-        return self._update(digest, count, self._now())
+        if before.generation < self.suspicion_of(digest).generation:
+            return False
+        loss = _Loss(before.round + 1, self._now())
+        return self._update(digest, before.generation, {upstream: loss})
 
     def record_answer(self, digest: int) -> bool:
         """Clear a content's losses; return False if it has none."""
-        generation, losses = self.count_of(digest)
-        if not losses:
+        content = self._contents.get(digest)
+        if content is None or not content.losses:
             return False
-        return self._update(digest, LossCount(generation + 1, 0), self._now())
+        return self._update(digest, content.generation + 1, {})
+
+    def record_alive(self, upstream: UpstreamKey, sent_at: float) -> list[int]:
+        """Record that an upstream answers a request sent at a monotonic time.
+
+        Return the contents of which a loss doesn't count any more.
+        """
+        if upstream not in self._lost:
+            return []
+        changed = []
+        for digest in sorted(self._lost[upstream]):
+            content = self._contents[digest]
+            loss = content.losses[upstream]
+            if loss.is_alive or sent_at <= loss.time:
+                continue
+            alive = _Loss(loss.round, loss.time, is_alive=True)
+            self._update(digest, content.generation, {upstream: alive})
+            changed.append(digest)
+        return changed
 
     def merge(self, messages: Iterable[pb.SuspectContent], age: float = 0.0) -> None:
         """Merge another host's contents, received in a message that is `age` old."""
         now = self._now()
         for message in messages:
-            count = LossCount(message.generation, message.losses)
-            self._update(message.digest, count, now - age - message.age)
+            losses = {
+                (each.upstream, each.incarnation): _Loss(
+                    each.round, now - age - each.age, each.is_alive
+                )
+                for each in message.losses
+            }
+            self._update(message.digest, message.generation, losses)
 
     def digests(self) -> list[int]:
         """Return the digests of all contents."""
@@ -129,47 +192,98 @@
 
     def messages_of(self, digests: Iterable[int]) -> list[pb.SuspectContent]:
         """Return some contents, without those that have been forgotten."""
-        now = self._now()
         return [
-            pb.SuspectContent(
-                digest=digest,
-                generation=content.count.generation,
-                losses=content.count.losses,
-                age=now - content.changed_at,
-            )
-            for digest, content in self._find(digests)
+            self._to_message(digest, self._contents[digest])
+            for digest in digests
+            if digest in self._contents
         ]
 
     def forget_old(self) -> None:
         """Forget the contents that haven't changed for long."""
         limit = self._now() - _FORGET_SECONDS
-        self._contents = {
-            digest: content
-            for digest, content in self._contents.items()
-            if content.changed_at > limit
-        }
-
-    def _find(self, digests: Iterable[int]) -> Iterable[tuple[int, _Content]]:
-        for digest in digests:
-            content = self._contents.get(digest)
-            if content is not None:
-                yield digest, content
-
-    def _update(self, digest: int, count: LossCount, changed_at: float) -> bool:
-        before = self.count_of(digest)
-        if count <= before:
+        for digest, content in list(self._contents.items()):
+            if content.changed_at <= limit:
+                self._forget(digest)
+
+    def _to_message(self, digest: int, content: _Content) -> pb.SuspectContent:
+        now = self._now()
+        losses = [
+            pb.ContentLoss(
+                upstream=name,
+                incarnation=incarnation,
+                round=loss.round,
+                age=now - loss.time,
+                is_alive=loss.is_alive,
+            )
+            for (name, incarnation), loss in content.losses.items()
+        ]
+        return pb.SuspectContent(
+            digest=digest, generation=content.generation, losses=losses
+        )
+
+    def _update(
+        self, digest: int, generation: int, losses: dict[UpstreamKey, _Loss]
+    ) -> bool:
+        """Add losses of a generation; return whether that changes anything."""
+        content = self._contents.get(digest) or _Content()
+        if generation < content.generation:
             return False
+        before = content.rounds
+        has_changed = generation > content.generation
+        if has_changed:
+            self._drop_losses(digest, content)
+            content.generation = generation
+        for upstream, loss in losses.items():
+            has_changed |= self._add_loss(digest, content, upstream, loss)
+        if has_changed:
+            self._record_change(digest, content, max(before, content.rounds))
+        return has_changed
+
+    def _add_loss(
+        self, digest: int, content: _Content, upstream: UpstreamKey, loss: _Loss
+    ) -> bool:
+        known = content.losses.get(upstream)
+        if known is not None:
+            is_new = loss.is_alive and not known.is_alive
+            known.is_alive = known.is_alive or loss.is_alive
+            return is_new
+        content.losses[upstream] = loss
+        self._lost[upstream].add(digest)
+        if len(content.losses) <= _MAX_LOSSES:
+            return True
+        first = min(content.losses, key=lambda key: content.losses[key].round)
+        del content.losses[first]
+        self._drop_index(first, digest)
+        return first != upstream
+
+    def _record_change(self, digest: int, content: _Content, rounds: int) -> None:
         self.version += 1
-        self._contents[digest] = _Content(count, changed_at, self.version)
+        content.version = self.version
+        content.changed_at = self._now()
+        self._contents[digest] = content
         if len(self._contents) > _MAX_CONTENTS:
-            del self._contents[min(self._contents, key=self._value_of)]
-        if max(before.losses, count.losses) >= _URGENT_LOSSES:
-            self.urgent_version = self.version
-            for subscriber in self._subscribers:
-                subscriber()
-        return True
+            self._forget(min(self._contents, key=self._value_of))
+        if rounds < _URGENT_ROUNDS:
+            return
+        self.urgent_version = self.version
+        for subscriber in self._subscribers:
+            subscriber()
 
     def _value_of(self, digest: int) -> tuple[int, float]:
         """Return by what contents are kept if there are too many."""
         content = self._contents[digest]
-        return content.count.losses, content.changed_at
+        return content.rounds, content.changed_at
+
+    def _forget(self, digest: int) -> None:
+        self._drop_losses(digest, self._contents.pop(digest))
+
+    def _drop_losses(self, digest: int, content: _Content) -> None:
+        for upstream in content.losses:
+            self._drop_index(upstream, digest)
+        content.losses = {}
+
+    def _drop_index(self, upstream: UpstreamKey, digest: int) -> None:
+        digests = self._lost[upstream]
+        digests.discard(digest)
+        if not digests:
+            del self._lost[upstream]
--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -71,9 +71,9 @@
 class ContentSuspected(Decision, tag="content_suspected"):
     """A run of a content ended with a broken connection."""
 
-    # Digest of the content, and its successive losses.
+    # Digest of the content, and how often it broke runs, one after the other.
     content: str
-    losses: int
+    rounds: int
     # Whether it's refused for now.
     is_blocked: bool
     request: str
--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -151,6 +151,8 @@
             )
             head, facts = await self._find_answer(request, connection, head)
             self._pools.set_keep_alive(upstream.key, facts.keep_seconds)
+            if facts.other_upstream in ("", upstream.id):
+                self._crash_guard.record_alive(upstream.key, request.attempt_started_at)
             self._signals.apply(
                 upstream, head.status, facts, request.attempt_started_at
             )
--- a/src/pepperstep/relay/crash_guard.py
+++ b/src/pepperstep/relay/crash_guard.py
@@ -9,8 +9,8 @@
 import trio
 from absl import logging
 
-from pepperstep.coordination import SuspectContents
-from pepperstep.coordination.suspects import BLOCKING_LOSSES, NO_LOSSES
+from pepperstep.coordination import SuspectContents, UpstreamKey
+from pepperstep.coordination.suspects import BLOCKING_ROUNDS, NO_SUSPICION
 from pepperstep.errors import Code, Failure
 from pepperstep.observability.decisions import ContentSuspected
 from pepperstep.ports import PeerNetwork, Timers
@@ -26,7 +26,7 @@
 
 
 class CrashGuard:
-    """Counts the losses of contents, and blocks those with too many.
+    """Tracks the runs that contents break, and blocks contents with too many.
 
     `control_hosts` returns the control hosts in reach.
     """
@@ -59,21 +59,22 @@
         return self._blocked_seconds(request) > 0
 
     def begin(self, request: RelayedRequest) -> None:
-        """Keep the losses that are known when a run begins."""
-        request.losses_before = NO_LOSSES
+        """Keep what is known of the content when a run begins."""
+        request.suspicion = NO_SUSPICION
         if not self._suspects.is_empty:
-            request.losses_before = self._suspects.count_of(request.content)
+            request.suspicion = self._suspects.suspicion_of(request.content)
 
     def record_loss(self, request: RelayedRequest) -> None:
         """Record that a run ended with a broken connection."""
-        if not self._suspects.record_loss(request.content, request.losses_before):
+        content, upstream = request.content, request.choice.upstream.key
+        if not self._suspects.record_loss(content, upstream, request.suspicion):
             return
-        self._queue_notice(request.content)
-        losses = self._suspects.count_of(request.content).losses
+        self._queue_notice(content)
+        rounds = self._suspects.rounds_of(content)
         event = ContentSuspected(
-            content=f"{request.content:016x}",
-            losses=losses,
-            is_blocked=losses >= BLOCKING_LOSSES,
+            content=f"{content:016x}",
+            rounds=rounds,
+            is_blocked=rounds >= BLOCKING_ROUNDS,
             request=request.name,
             upstream=request.choice.upstream.id,
             service=request.service.name,
@@ -87,6 +88,11 @@
         if self._suspects.record_answer(request.content):
             self._queue_notice(request.content)
 
+    def record_alive(self, upstream: UpstreamKey, sent_at: float) -> None:
+        """Record that an upstream answers a request sent at a monotonic time."""
+        for content in self._suspects.record_alive(upstream, sent_at):
+            self._queue_notice(content)
+
     def record_epoch(self, control_host: str, epoch: int) -> None:
         """Send a control host that has just started all that this host knows."""
         if self._epochs.get(control_host) == epoch:
--- a/src/pepperstep/relay/relayed_request.py
+++ b/src/pepperstep/relay/relayed_request.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from pepperstep.coordination import UpstreamKey
-from pepperstep.coordination.suspects import NO_LOSSES, LossCount
+from pepperstep.coordination.suspects import NO_SUSPICION, Suspicion
 from pepperstep.entities.routes import Route, Service, Workspace
 from pepperstep.ports.exchange import Answer, Exchange
 from pepperstep.ports.relaying import RequestFacts
@@ -52,8 +52,8 @@
     # Whether the upstream still has to prefill the prompt.
     is_prefill_pending: bool = False
     events: EventSplitter = field(default_factory=EventSplitter)
-    # Losses of the content that were known when the latest attempt began.
-    losses_before: LossCount = NO_LOSSES
+    # What was known of the content when the latest attempt began.
+    suspicion: Suspicion = NO_SUSPICION
     _content: int | None = None
 
     @property
--- a/tests/measure/test_arrivals.py
+++ b/tests/measure/test_arrivals.py
@@ -52,3 +52,11 @@
     assert not log.has_crashing_excess()
     assert log_of([*times, 6.0], crashes=3, crashing="c").has_crashing_excess()
     assert log_of([*times, 6.0], crashes=2, crashing="c").late_retries() == {}
+
+
+def test_hosts_without_contact_are_excused():
+    times = [0.0, 1.0, 2.0, 6.0, 7.0, 8.0, 9.0]
+    log = log_of(times, crashes=3, crashing="c")
+    assert log.late_retries() == {"c": 4}
+    log.disturb("", 5.0)
+    assert log.late_retries() == {"c": 1}
