--- a/src/pepperstep/relay/crash_guard.py
+++ b/src/pepperstep/relay/crash_guard.py
@@ -51,7 +51,7 @@
         """Raise `Failure` with `CRASHING_REQUEST` if the request is blocked."""
         seconds = self._blocked_seconds(request)
         if seconds:
-            text = "This content has crashed upstreams each time it was sent."
+            text = "The latest runs of this content have broken their connections."
             raise Failure(Code.CRASHING_REQUEST, text, retry_after=seconds)
 
     def is_blocked(self, request: RelayedRequest) -> bool:
