--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -407,7 +407,7 @@
         8,
         "hosts tell each other which contents break runs",
         "relay/crash_guard.py",
-        "if await self._publish(pending):",
+        "if await send_notice(self._peers, self._control_hosts(), notice):",
         "if True:",
         (
             f"{_CRASHES}test_blocked_content_is_refused_at_once_by_hosts_that_never"
--- a/src/pepperstep/coordination/suspects.py
+++ b/src/pepperstep/coordination/suspects.py
@@ -100,6 +100,11 @@
         """Whether no content is known."""
         return not self._contents
 
+    @property
+    def blocked_count(self) -> int:
+        """Number of contents that are blocked now."""
+        return sum(self.blocked_seconds(digest) > 0 for digest in self._contents)
+
     def subscribe(self, subscriber: Callable[[], None]) -> None:
         """Call `subscriber` after each urgent change."""
         self._subscribers.append(subscriber)
--- a/src/pepperstep/programs/entry_host.py
+++ b/src/pepperstep/programs/entry_host.py
@@ -229,6 +229,9 @@
         add_gauge(
             "limited_upstreams", "That state a limit.", self.catalog.limited_count
         )
+        add_gauge(
+            "blocked_contents", "That break runs.", lambda: self._suspects.blocked_count
+        )
         add_gauge("ready", "1 if callers are told of it.", lambda: self.is_ready)
 
     def _accepts_streams(self) -> bool:
--- a/src/pepperstep/relay/crash_guard.py
+++ b/src/pepperstep/relay/crash_guard.py
@@ -15,11 +15,11 @@
 from pepperstep.observability.decisions import ContentSuspected
 from pepperstep.ports import PeerNetwork, Timers
 from pepperstep.proto import coordination_pb2 as pb
+from pepperstep.relay.notices import send_notice
 from pepperstep.relay.relayed_request import RelayedRequest
 
 __all__ = ["CrashGuard"]
 
-_NOTICE_TIMEOUT_SECONDS = 0.3
 # Pause between two rounds of notices. Many runs break at once when an upstream fails.
 _NOTICE_PAUSE_SECONDS = 0.05
 _NOTICE_RETRY_SECONDS = 0.5
@@ -107,7 +107,10 @@
             await self._has_pending.wait()
             pending, self._pending = self._pending, set()
             self._has_pending = trio.Event()
-            if await self._publish(pending):
+            notice = pb.SuspectNotice(
+                contents=self._suspects.messages_of(sorted(pending))
+            )
+            if await send_notice(self._peers, self._control_hosts(), notice):
                 await self._timers.sleep(_NOTICE_PAUSE_SECONDS)
                 continue
             await self._timers.sleep(_NOTICE_RETRY_SECONDS)
@@ -122,23 +125,3 @@
     def _queue_notice(self, content: int) -> None:
         self._pending.add(content)
         self._has_pending.set()
-
-    async def _publish(self, contents: set[int]) -> bool:
-        """Notify the control hosts in reach; return whether one has answered."""
-        notice = pb.SuspectNotice(contents=self._suspects.messages_of(sorted(contents)))
-        answered: list[str] = []
-
-        async def send(control_host: str) -> None:
-            try:
-                await self._peers.call(control_host, notice, _NOTICE_TIMEOUT_SECONDS)
-            except Failure as failure:
-                logging.info(
-                    "crashes: notice to %s failed: %s", control_host, failure.text
-                )
-            else:
-                answered.append(control_host)
-
-        async with trio.open_nursery() as nursery:
-            for control_host in self._control_hosts():
-                nursery.start_soon(send, control_host)
-        return bool(answered)
--- a/src/pepperstep/relay/signals.py
+++ b/src/pepperstep/relay/signals.py
@@ -15,19 +15,18 @@
     UpstreamCatalog,
     UpstreamKey,
 )
-from pepperstep.errors import Failure
 from pepperstep.observability.decisions import UpstreamLeaving
 from pepperstep.ports import PeerNetwork, Timers
 from pepperstep.ports.relaying import AnswerFacts
 from pepperstep.proto import coordination_pb2 as pb
 from pepperstep.relay.backoff import Backoff
+from pepperstep.relay.notices import send_notice
 
 __all__ = ["AnswerSignals"]
 
 _SUCCESS_STATUSES = range(200, 300)
 # Statuses with which an upstream refuses a request.
 _REFUSAL_STATUSES = frozenset((429, 503))
-_NOTICE_TIMEOUT_SECONDS = 0.3
 
 
 class AnswerSignals:
@@ -80,7 +79,8 @@
             pending, self._pending = self._pending, set()
             self._has_pending = trio.Event()
             for upstream in sorted(pending):
-                await self._publish(upstream)
+                notice = self._make_notice(upstream)
+                await send_notice(self._peers, self._control_hosts(), notice)
 
     def _log_leaving(self, upstream: Announcement, facts: AnswerFacts) -> None:
         event = UpstreamLeaving(
@@ -111,19 +111,6 @@
             return True
         return sent_at <= known.stated_at
 
-    async def _publish(self, upstream: UpstreamKey) -> None:
-        """Notify the control hosts in reach, which propagate the signals."""
-        notice = self._make_notice(upstream)
-        async with trio.open_nursery() as nursery:
-            for control_host in self._control_hosts():
-                nursery.start_soon(self._send_notice, control_host, notice)
-
-    async def _send_notice(self, control_host: str, notice: pb.AnswerNotice) -> None:
-        try:
-            await self._peers.call(control_host, notice, _NOTICE_TIMEOUT_SECONDS)
-        except Failure as failure:
-            logging.info("signals: notice to %s failed: %s", control_host, failure.text)
-
     def _make_notice(self, upstream: UpstreamKey) -> pb.AnswerNotice:
         name, incarnation = upstream
         notice = pb.AnswerNotice(upstream=name, incarnation=incarnation)
--- a/tests/relaying/test_crashing_requests.py
+++ b/tests/relaying/test_crashing_requests.py
@@ -192,9 +192,9 @@
         assert not service.log.has_crashing_excess()
 
 
-async def test_blocked_content_is_refused_at_once_by_hosts_that_never_sent_it(
-    autojump_clock,
-):
+@asynccontextmanager
+async def open_crashed_world():
+    """Open a world in which a content has just crashed three upstreams."""
     async with open_world(3, 6) as world:
         service = Service(world)
         async with trio.open_nursery() as nursery:
@@ -202,13 +202,20 @@
             for _ in range(3):
                 await world.ask("e0:1", request("/unsafe/1"), CRASHING)
             await trio.sleep(1.0)
-            arrived = len(service.log.arrivals)
-            refused = [
-                await world.ask(name, request("/unsafe/1"), CRASHING)
-                for name in world.entries
-            ]
-            other = await world.ask("e5:1", request("/unsafe/1"), b"other")
+            yield world, service
             nursery.cancel_scope.cancel()
+
+
+async def test_blocked_content_is_refused_at_once_by_hosts_that_never_sent_it(
+    autojump_clock,
+):
+    async with open_crashed_world() as (world, service):
+        arrived = len(service.log.arrivals)
+        refused = [
+            await world.ask(name, request("/unsafe/1"), CRASHING)
+            for name in world.entries
+        ]
+        other = await world.ask("e5:1", request("/unsafe/1"), b"other")
     assert {exchange.status for exchange in refused} == {503}
     headers = dict(refused[0].answer_head.headers)
     assert float(headers[b"retry-after"]) > 30
@@ -217,17 +224,10 @@
 
 
 async def test_blocked_content_stays_blocked_after_a_loss_of_all_power(autojump_clock):
-    async with open_world(3, 6) as world:
-        service = Service(world)
-        async with trio.open_nursery() as nursery:
-            await nursery.start(service.run)
-            for _ in range(3):
-                await world.ask("e0:1", request("/unsafe/1"), CRASHING)
-            await trio.sleep(1.0)
-            arrived = len(service.log.arrivals)
-            await lose_power_everywhere(world)
-            exchange = await world.ask("e1:1", request("/unsafe/1"), CRASHING)
-            nursery.cancel_scope.cancel()
+    async with open_crashed_world() as (world, service):
+        arrived = len(service.log.arrivals)
+        await lose_power_everywhere(world)
+        exchange = await world.ask("e1:1", request("/unsafe/1"), CRASHING)
     assert exchange.status == 503
     assert len(service.log.arrivals) == arrived
 
--- a/tests/relaying/test_suspects.py
+++ b/tests/relaying/test_suspects.py
@@ -36,6 +36,7 @@
     lose(contents, "c")
     assert contents.blocked_seconds(CONTENT) == 60.0
     assert contents.blocked_seconds(CONTENT + 1) == 0.0
+    assert contents.blocked_count == 1
 
 
 def test_runs_that_break_at_the_same_time_count_once(clock):
