Copies of a crashing content that come together are blocked too

Cause: losses of runs that began together are of one round, and three rounds made a block. Copies that come in threes every 4 s crashed nine upstreams before it. Change: three losses at different upstreams block a content, for 5 s after one round, as upstreams may fail together and with them all that they run, and four times longer with each further round, up to 300 s (80 s after three). Blocks last up to ten times longer on some hosts than on others, so that trials seldom come together.

--- a/src/pepperstep/coordination/suspects.py
+++ b/src/pepperstep/coordination/suspects.py
@@ -15,26 +15,28 @@
 from pepperstep.coordination.records import UpstreamKey
 from pepperstep.proto import coordination_pb2 as pb
 
-__all__ = ["BLOCKING_ROUNDS", "NO_SUSPICION", "Suspicion", "SuspectContents"]
-
-# Rounds of losses from which a content is blocked. One or two may be due to failures of
-# the upstreams.
-BLOCKING_ROUNDS = 3
-# Duration of the first block in seconds. Each further round multiplies it, up to the
-# maximum.
-_FIRST_BLOCK_SECONDS = 60.0
+__all__ = ["NO_SUSPICION", "Suspicion", "SuspectContents"]
+
+# Losses from which a content is blocked. One or two may be due to failures of the
+# upstreams.
+_BLOCKING_LOSSES = 3
+# Duration in seconds of a block after one round, as when several upstreams fail at
+# once. Each further round multiplies it, up to the maximum.
+_FIRST_BLOCK_SECONDS = 5.0
 _BLOCK_FACTOR = 4.0
-_MAX_BLOCK_SECONDS = 600.0
+_MAX_BLOCK_SECONDS = 300.0
+# By how much of its duration a block may be longer on one host than on another.
+_STAGGER_FACTOR = 9.0
 # Time after its latest change for which a content is kept, in seconds. It's longer than
 # the longest block, so that a content that is tried after it and crashes another
 # upstream is blocked again at once.
-_FORGET_SECONDS = 1_500.0
+_FORGET_SECONDS = 3_600.0
 _MAX_CONTENTS = 500
 # Losses that are kept of a content, those of the latest rounds.
 _MAX_LOSSES = 8
-# Rounds from which other hosts are told at once instead of with the next poll. Many
+# Losses from which other hosts are told at once instead of with the next poll. Many
 # runs break once when upstreams fail.
-_URGENT_ROUNDS = 2
+_URGENT_LOSSES = 2
 
 
 class Suspicion(NamedTuple):
@@ -117,20 +119,21 @@
         rounds = (loss.round for loss in content.losses.values())
         return Suspicion(content.generation, max(rounds, default=0))
 
-    def rounds_of(self, digest: int) -> int:
-        """Return the number of rounds of losses of a content."""
+    def losses_of(self, digest: int) -> int:
+        """Return the number of losses of a content that count."""
         content = self._contents.get(digest)
-        return 0 if content is None else content.rounds
+        return 0 if content is None else len(content.counted)
 
     def blocked_seconds(self, digest: int) -> float:
         """Return the seconds until a content may be sent again, 0 if it may be now."""
         content = self._contents.get(digest)
-        if content is None or content.rounds < BLOCKING_ROUNDS:
+        if content is None or len(content.counted) < _BLOCKING_LOSSES:
             return 0.0
-        further = content.rounds - BLOCKING_ROUNDS
+        further = content.rounds - 1
         seconds = min(_FIRST_BLOCK_SECONDS * _BLOCK_FACTOR**further, _MAX_BLOCK_SECONDS)
         latest = max(loss.time for loss in content.counted)
-        return max(0.0, latest + (1.0 + self._stagger) * seconds - self._now())
+        seconds *= 1.0 + _STAGGER_FACTOR * self._stagger
+        return max(0.0, latest + seconds - self._now())
 
     def record_loss(
         self, digest: int, upstream: UpstreamKey, before: Suspicion
@@ -233,7 +236,7 @@
         content = self._contents.get(digest) or _Content()
         if generation < content.generation:
             return False
-        before = content.rounds
+        before = len(content.counted)
         has_changed = generation > content.generation
         if has_changed:
             self._drop_losses(digest, content)
@@ -241,7 +244,7 @@
         for upstream, loss in losses.items():
             has_changed |= self._add_loss(digest, content, upstream, loss)
         if has_changed:
-            self._record_change(digest, content, max(before, content.rounds))
+            self._record_change(digest, content, max(before, len(content.counted)))
         return has_changed
 
     def _add_loss(
@@ -261,14 +264,14 @@
         self._drop_index(first, digest)
         return first != upstream
 
-    def _record_change(self, digest: int, content: _Content, rounds: int) -> None:
+    def _record_change(self, digest: int, content: _Content, losses: int) -> None:
         self.version += 1
         content.version = self.version
         content.changed_at = self._now()
         self._contents[digest] = content
         if len(self._contents) > _MAX_CONTENTS:
             self._forget(min(self._contents, key=self._value_of))
-        if rounds < _URGENT_ROUNDS:
+        if losses < _URGENT_LOSSES:
             return
         self.urgent_version = self.version
         for subscriber in self._subscribers:
@@ -277,7 +280,7 @@
     def _value_of(self, digest: int) -> tuple[int, float]:
         """Return by what contents are kept if there are too many."""
         content = self._contents[digest]
-        return content.rounds, content.changed_at
+        return len(content.counted), content.changed_at
 
     def _forget(self, digest: int) -> None:
         self._drop_losses(digest, self._contents.pop(digest))
--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -71,14 +71,14 @@
 class ContentSuspected(Decision, tag="content_suspected"):
     """A run of a content ended with a broken connection."""
 
-    # Digest of the content, and how often it broke runs, one after the other.
+    # Digest of the content, and the number of upstreams at which its runs broke.
     content: str
-    rounds: int
-    # Whether it's refused for now.
-    is_blocked: bool
+    losses: int
     request: str
     upstream: str
     service: str
+    # Time for which it's refused.
+    blocked_ms: int = 0
 
 
 class RetryAsked(Decision, tag="retry_asked"):
--- a/src/pepperstep/relay/crash_guard.py
+++ b/src/pepperstep/relay/crash_guard.py
@@ -10,7 +10,7 @@
 from absl import logging
 
 from pepperstep.coordination import SuspectContents, UpstreamKey
-from pepperstep.coordination.suspects import BLOCKING_ROUNDS, NO_SUSPICION
+from pepperstep.coordination.suspects import NO_SUSPICION
 from pepperstep.errors import Code, Failure
 from pepperstep.observability.decisions import ContentSuspected
 from pepperstep.ports import PeerNetwork, Timers
@@ -70,11 +70,10 @@
         if not self._suspects.record_loss(content, upstream, request.suspicion):
             return
         self._queue_notice(content)
-        rounds = self._suspects.rounds_of(content)
         event = ContentSuspected(
             content=f"{content:016x}",
-            rounds=rounds,
-            is_blocked=rounds >= BLOCKING_ROUNDS,
+            losses=self._suspects.losses_of(content),
+            blocked_ms=round(1000 * self._suspects.blocked_seconds(content)),
             request=request.name,
             upstream=request.choice.upstream.id,
             service=request.service.name,
