A trial of a blocked content renews its block, also if it's refused

A refused run is no loss, so each host whose block had ended sent each copy on.

Change: a run of a content that was blocked counts as a trial when it begins. It renews the block on all hosts, and makes it longer.

--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -440,6 +440,14 @@
             f"{_SUSPECTS}test_runs_that_break_at_the_same_time_block_only_for_a_short_time",
         ),
     ),
+    Mechanism(
+        8,
+        "a trial renews the block",
+        "relay/crash_guard.py",
+        "if self._suspects.record_trial(request.content):",
+        "if False:",
+        (f"{_CRASHES}test_trials_of_a_blocked_content_that_upstreams_refuse_are_few",),
+    ),
     Mechanism(
         8,
         "an upstream that answers hasn't crashed",
--- a/src/pepperstep/coordination/suspects.py
+++ b/src/pepperstep/coordination/suspects.py
@@ -21,7 +21,7 @@
 # upstreams.
 _BLOCKING_LOSSES = 3
 # Duration in seconds of a block after one round, as when several upstreams fail at
-# once. Each further round multiplies it, up to the maximum.
+# once. Each further round or trial multiplies it, up to the maximum.
 _FIRST_BLOCK_SECONDS = 5.0
 _BLOCK_FACTOR = 4.0
 _MAX_BLOCK_SECONDS = 300.0
@@ -64,6 +64,9 @@
 class _Content:
     generation: int = 0
     losses: dict[UpstreamKey, _Loss] = field(default_factory=dict)
+    # Runs that began after a block, and the monotonic time of the latest one.
+    trials: int = 0
+    tried_at: float = 0.0
     changed_at: float = 0.0
     # Value of `SuspectContents.version` at its latest change on this host.
     version: int = 0
@@ -74,9 +77,11 @@
         return [loss for loss in self.losses.values() if not loss.is_alive]
 
     @property
-    def rounds(self) -> int:
-        """Number of rounds with a loss that counts."""
-        return len({loss.round for loss in self.counted})
+    def blocking_seconds(self) -> float:
+        """Duration of the latest block."""
+        rounds = len({loss.round for loss in self.counted})
+        further = max(rounds - 1, self.trials)
+        return min(_FIRST_BLOCK_SECONDS * _BLOCK_FACTOR**further, _MAX_BLOCK_SECONDS)
 
 
 class SuspectContents:
@@ -129,10 +134,8 @@
         content = self._contents.get(digest)
         if content is None or len(content.counted) < _BLOCKING_LOSSES:
             return 0.0
-        further = content.rounds - 1
-        seconds = min(_FIRST_BLOCK_SECONDS * _BLOCK_FACTOR**further, _MAX_BLOCK_SECONDS)
-        latest = max(loss.time for loss in content.counted)
-        seconds *= 1.0 + _STAGGER_FACTOR * self._stagger
+        latest = max(content.tried_at, *(loss.time for loss in content.counted))
+        seconds = content.blocking_seconds * (1.0 + _STAGGER_FACTOR * self._stagger)
         return max(0.0, latest + seconds - self._now())
 
     def record_loss(
@@ -147,6 +150,17 @@
         loss = _Loss(before.round + 1, self._now())
         return self._update(digest, before.generation, {upstream: loss})
 
+    def record_trial(self, digest: int) -> bool:
+        """Record that a run begins; return False if its content was never blocked.
+
+        The trial renews the block, also if its upstream refuses to run it.
+        """
+        content = self._contents.get(digest)
+        if content is None or len(content.counted) < _BLOCKING_LOSSES:
+            return False
+        trial = (content.trials + 1, self._now())
+        return self._update(digest, content.generation, {}, trial)
+
     def record_answer(self, digest: int) -> bool:
         """Clear a content's losses; return False if it has none."""
         content = self._contents.get(digest)
@@ -182,7 +196,8 @@
                 )
                 for each in message.losses
             }
-            self._update(message.digest, message.generation, losses)
+            trial = (message.trials, now - age - message.tried_age)
+            self._update(message.digest, message.generation, losses, trial)
 
     def digests(self) -> list[int]:
         """Return the digests of all contents."""
@@ -226,13 +241,24 @@
             for (name, incarnation), loss in content.losses.items()
         ]
         return pb.SuspectContent(
-            digest=digest, generation=content.generation, losses=losses
+            digest=digest,
+            generation=content.generation,
+            losses=losses,
+            trials=content.trials,
+            tried_age=now - content.tried_at,
         )
 
     def _update(
-        self, digest: int, generation: int, losses: dict[UpstreamKey, _Loss]
+        self,
+        digest: int,
+        generation: int,
+        losses: dict[UpstreamKey, _Loss],
+        trial: tuple[int, float] = (0, 0.0),
     ) -> bool:
-        """Add losses of a generation; return whether that changes anything."""
+        """Add losses, and the number and time of the latest trial, of a generation.
+
+        Return whether that changes anything.
+        """
         content = self._contents.get(digest) or _Content()
         if generation < content.generation:
             return False
@@ -241,6 +267,10 @@
         if has_changed:
             self._drop_losses(digest, content)
             content.generation = generation
+            content.trials, content.tried_at = 0, 0.0
+        if trial[0] > content.trials:
+            content.trials, content.tried_at = trial
+            has_changed = True
         for upstream, loss in losses.items():
             has_changed |= self._add_loss(digest, content, upstream, loss)
         if has_changed:
--- a/src/pepperstep/relay/crash_guard.py
+++ b/src/pepperstep/relay/crash_guard.py
@@ -59,10 +59,12 @@
         return self._blocked_seconds(request) > 0
 
     def begin(self, request: RelayedRequest) -> None:
-        """Keep what is known of the content when a run begins."""
+        """Keep what is known of the content when a run begins, and announce a trial."""
         request.suspicion = NO_SUSPICION
         if not self._suspects.is_empty:
             request.suspicion = self._suspects.suspicion_of(request.content)
+            if self._suspects.record_trial(request.content):
+                self._queue_notice(request.content)
 
     def record_loss(self, request: RelayedRequest) -> None:
         """Record that a run ended with a broken connection."""
--- a/tests/relaying/test_crashing_requests.py
+++ b/tests/relaying/test_crashing_requests.py
@@ -37,6 +37,7 @@
 
     def __init__(self, world):
         self.log = ArrivalLog()
+        self.is_refusing = False
         self._world = world
         self._numbers = itertools.count()
         self._ids = itertools.count()
@@ -88,7 +89,7 @@
     def answer(self, sent: Sent) -> Reply:
         """Answer a request, or crash."""
         attempt = sent.head.first(b"pepperstep-attempt-id")
-        crashes = sent.body.startswith(CRASHING)
+        crashes = sent.body.startswith(CRASHING) and not self.is_refusing
         self.log.arrivals.append(
             Arrival(attempt, "plain", sent.address, sent.time, 0.0, True, crashes)
         )
@@ -96,6 +97,9 @@
             self._crash(sent.address)
             return Reply(delay=RUN_SECONDS)
         headers = ((b"pepperstep-attempt-id", attempt),)
+        if self.is_refusing:
+            not_executed = (b"pepperstep-not-executed", b"1")
+            return Reply(AnswerHead(503, (*headers, not_executed)))
         return Reply(AnswerHead(200, headers), (sent.body,), delay=RUN_SECONDS)
 
     def _crash(self, address: str) -> None:
@@ -238,6 +242,26 @@
     assert len(service.log.arrivals) == arrived
 
 
+async def test_trials_of_a_blocked_content_that_upstreams_refuse_are_few(
+    autojump_clock,
+):
+    async with open_world(3, 6) as world:
+        service = Service(world)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(service.run)
+            for name in sorted(world.entries)[:3]:
+                nursery.start_soon(world.ask, name, request("/unsafe/1"), CRASHING)
+            await trio.sleep(0.1)
+            service.is_refusing = True
+            arrived = len(service.log.arrivals)
+            for _ in range(200):
+                name = world.rng.choice(sorted(world.entries))
+                await world.ask(name, request("/unsafe/1"), CRASHING)
+                await trio.sleep(0.3)
+            nursery.cancel_scope.cancel()
+    assert 0 < len(service.log.arrivals) - arrived <= 3
+
+
 class BreakingService:
     """Upstreams that break the first runs of one content, and answer all others."""
 
--- a/tests/relaying/test_suspects.py
+++ b/tests/relaying/test_suspects.py
@@ -97,6 +97,24 @@
     assert second.blocked_seconds(CONTENT) == first.blocked_seconds(CONTENT) + 360.0
 
 
+def test_trial_renews_the_block_of_all_hosts_also_if_it_is_refused(clock):
+    first, second = SuspectContents(clock), SuspectContents(clock)
+    for name in "abc":
+        first.record_loss(CONTENT, (name, 0), NO_SUSPICION)
+    clock.time += 5.0
+    assert first.record_trial(CONTENT)
+    second.merge(first.messages_since(0))
+    assert [first.blocked_seconds(CONTENT), second.blocked_seconds(CONTENT)] == [
+        20.0
+    ] * 2
+    version = second.version
+    clock.time += 1.0
+    second.merge(first.messages_since(0), age=0.5)
+    assert second.version == version
+    second.record_answer(CONTENT)
+    assert not second.record_trial(CONTENT)
+
+
 def test_hosts_that_merge_in_any_order_agree(clock):
     hosts = [SuspectContents(clock) for _ in range(3)]
     lose(hosts[0], "a", "b")
