Hosts that know more losses than they keep drop the same one

Found by reading: with as many losses of one round as two hosts keep together, each dropped the one that it had had longest, sent the other's back, and so on with each poll without end. Of one round, the least name goes first now. The test fails without.

--- a/src/pepperstep/coordination/suspects.py
+++ b/src/pepperstep/coordination/suspects.py
@@ -289,7 +289,8 @@
         self._lost[upstream].add(digest)
         if len(content.losses) <= _MAX_LOSSES:
             return True
-        first = min(content.losses, key=lambda key: content.losses[key].round)
+        # All hosts must drop the same one, or they would send it to each other forever.
+        first = min(content.losses, key=lambda key: (content.losses[key].round, key))
         del content.losses[first]
         self._drop_index(first, digest)
         return first != upstream
--- a/tests/relaying/test_suspects.py
+++ b/tests/relaying/test_suspects.py
@@ -130,6 +130,20 @@
     assert [host.losses_of(CONTENT) for host in hosts] == [0, 0, 0]
 
 
+def test_hosts_with_more_losses_than_they_keep_settle_on_the_same(clock):
+    hosts = [SuspectContents(clock) for _ in range(2)]
+    names = [f"u{number}" for number in range(16)]
+    for host, order in zip(hosts, (names, reversed(names)), strict=True):
+        for name in order:
+            host.record_loss(CONTENT, (name, 0), NO_SUSPICION)
+    for _ in range(5):
+        versions = [host.version for host in hosts]
+        messages = [host.messages_since(0) for host in hosts]
+        for host, received in zip(hosts, reversed(messages), strict=True):
+            host.merge(received)
+    assert [host.version for host in hosts] == versions
+
+
 def test_merged_losses_keep_their_age(clock):
     sender, receiver = SuspectContents(clock), SuspectContents(clock)
     lose(sender, "a", "b", "c")
