Contents beyond those kept are dropped together

Cause: where more than 500 contents are known, each further loss searched all of them for the one of least value. Mass failures bring thousands. Change: 250 more are let come, then the least are dropped at once.

--- a/src/pepperstep/coordination/suspects.py
+++ b/src/pepperstep/coordination/suspects.py
@@ -31,7 +31,9 @@
 # the longest block, so that a content that is tried after it and crashes another
 # upstream is blocked again at once.
 _FORGET_SECONDS = 3_600.0
+# Contents that are kept, and how many more make it worth dropping those of least value.
 _MAX_CONTENTS = 500
+_MAX_EXCESS = 250
 # Losses that are kept of a content, those of the latest rounds.
 _MAX_LOSSES = 8
 # Losses from which other hosts are told at once instead of with the next poll. Many
@@ -300,8 +302,9 @@
         content.version = self.version
         content.changed_at = self._now()
         self._contents[digest] = content
-        if len(self._contents) > _MAX_CONTENTS:
-            self._forget(min(self._contents, key=self._value_of))
+        if len(self._contents) > _MAX_CONTENTS + _MAX_EXCESS:
+            for least in sorted(self._contents, key=self._value_of)[:-_MAX_CONTENTS]:
+                self._forget(least)
         if losses < _URGENT_LOSSES:
             return
         self.urgent_version = self.version
