--- a/measure/site_play.py
+++ b/measure/site_play.py
@@ -213,7 +213,7 @@
 
     def result(self) -> dict:
         """Return the counts, and which bounds were exceeded."""
-        fullest = self.log.count_window_excess(_RULE)
+        fullest = self.log.fullest_windows(_RULE)
         return {
             "seed": _SEED.value,
             "requests": len(self.log.sendings),
--- a/src/pepperstep/coordination/suspects.py
+++ b/src/pepperstep/coordination/suspects.py
@@ -79,8 +79,8 @@
         return [loss for loss in self.losses.values() if not loss.is_alive]
 
     @property
-    def blocking_seconds(self) -> float:
-        """Duration of the latest block."""
+    def block_seconds(self) -> float:
+        """Duration of the latest block on the host where it's shortest."""
         rounds = len({loss.round for loss in self.counted})
         further = max(rounds - 1, self.trials)
         return min(_FIRST_BLOCK_SECONDS * _BLOCK_FACTOR**further, _MAX_BLOCK_SECONDS)
@@ -137,7 +137,7 @@
         if content is None or len(content.counted) < _BLOCKING_LOSSES:
             return 0.0
         latest = max(content.tried_at, *(loss.time for loss in content.counted))
-        seconds = content.blocking_seconds * (1.0 + _STAGGER_FACTOR * self._stagger)
+        seconds = content.block_seconds * (1.0 + _STAGGER_FACTOR * self._stagger)
         return max(0.0, latest + seconds - self._now())
 
     def record_loss(
--- a/standins/arrivals.py
+++ b/standins/arrivals.py
@@ -65,7 +65,7 @@
         """Record that a host, "" for a control host, was disturbed."""
         self.disturbances.setdefault(host, []).append(time)
 
-    def count_window_excess(self, rule: RetryRule) -> dict[str, tuple[int, float]]:
+    def fullest_windows(self, rule: RetryRule) -> dict[str, tuple[int, float]]:
         """Return by service the retries and the permitted ones of its fullest window.
 
         The fullest is the one with the largest ratio of both.
--- a/tests/measure/test_arrivals.py
+++ b/tests/measure/test_arrivals.py
@@ -22,9 +22,9 @@
 
 def test_window_counts_arrivals_beyond_the_first():
     log = log_of([0.0, 1.0, 2.0, 3.0, 4.0])
-    assert log.count_window_excess(RULE) == {}
+    assert log.fullest_windows(RULE) == {}
     log.arrivals += [replace(each, time=5.0) for each in log.arrivals[:4]]
-    assert log.count_window_excess(RULE) == {"desk": (4, 3.0)}
+    assert log.fullest_windows(RULE) == {"desk": (4, 3.0)}
 
 
 def test_runs_beyond_the_route_are_counted():
