--- a/measure/site_play.py
+++ b/measure/site_play.py
@@ -418,6 +418,8 @@
 
 def _run(arguments: list[str]) -> None:
     del arguments
+    if _DAEMON.value and not Path(_DAEMON.value).is_file():
+        raise app.UsageError(f"--daemon: there is no file {_DAEMON.value!r}.")
     if _KEEP.value:
         Path(_KEEP.value).mkdir(parents=True, exist_ok=True)
         result = trio.run(_play, Path(_KEEP.value))
--- a/src/pepperstep/coordination/suspects.py
+++ b/src/pepperstep/coordination/suspects.py
@@ -20,8 +20,8 @@
 # Losses from which a content is blocked. One or two may be due to failures of the
 # upstreams.
 _BLOCKING_LOSSES = 3
-# Duration in seconds of a block after one round, as when several upstreams fail at
-# once. Each further round or trial multiplies it, up to the maximum.
+# Duration of the first block in seconds. It's short, as upstreams that fail together
+# break all their runs. Blocks grow by the factor with each round or trial.
 _FIRST_BLOCK_SECONDS = 5.0
 _BLOCK_FACTOR = 4.0
 _MAX_BLOCK_SECONDS = 300.0
@@ -291,7 +291,7 @@
         self._lost[upstream].add(digest)
         if len(content.losses) <= _MAX_LOSSES:
             return True
-        # All hosts must drop the same one, or they would send it to each other forever.
+        # The order is the same on all hosts, so that their sets converge.
         first = min(content.losses, key=lambda key: (content.losses[key].round, key))
         del content.losses[first]
         self._drop_index(first, digest)
--- a/standins/retry_rule.py
+++ b/standins/retry_rule.py
@@ -22,8 +22,9 @@
         self, request_times: Sequence[float], retry_times: Sequence[float]
     ) -> None:
         """Fail if any window has more retries than the budget allows."""
-        for count, allowed in self.windows(request_times, retry_times):
-            assert count <= allowed, (count, allowed)
+        windows = self.windows(request_times, retry_times)
+        for first, (count, allowed) in zip(retry_times, windows, strict=True):
+            assert count <= allowed, (first, count, allowed)
 
     def windows(
         self, request_times: Sequence[float], retry_times: Sequence[float]
