Log how an upstream's answer was framed

Cause: request_answered doesn't tell an answer that ends with its connection from one with a length or chunks, so the hypotheses on broken streams can't be told apart. Change: the line names the framing, and says if a stream ended inside an event; AnswerHead knows its framing.

--- a/src/pepperstep/ports/exchange.py
+++ b/src/pepperstep/ports/exchange.py
@@ -1,5 +1,6 @@
 """HTTP messages between callers, a host and upstreams, passed on unmodified."""
 
+import enum
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -12,6 +13,7 @@
     "CallerGone",
     "ConnectionFault",
     "Exchange",
+    "Framing",
     "Header",
     "RequestHead",
     "UpstreamConnection",
@@ -35,6 +37,15 @@
         return _first_value(self.headers, name)
 
 
+class Framing(enum.StrEnum):
+    """What marks the end of an answer's body (RFC 9112, section 6)."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    # The end of the connection, which a break may bring about as well.
+    CLOSE = "close"
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
     """Status and headers of an answer."""
@@ -42,6 +53,15 @@
     status: int
     headers: tuple[Header, ...]
 
+    @property
+    def framing(self) -> Framing:
+        """How the body is framed, for an answer that has one."""
+        if self.first(b"transfer-encoding"):
+            return Framing.CHUNKED
+        if self.first(b"content-length"):
+            return Framing.LENGTH
+        return Framing.CLOSE
+
     def first(self, name: bytes) -> bytes:
         """Return the first value of a header, b"" if there is none."""
         return _first_value(self.headers, name)
--- a/src/pepperstep/relay/answers.py
+++ b/src/pepperstep/relay/answers.py
@@ -64,6 +64,7 @@
                 self._on_first_byte(request)
                 await self._forward_piece(exchange, head, complete_events)
         partial = events.take_partial()
+        request.ends_in_event = bool(partial)
         if partial:
             await self._forward_piece(exchange, head, partial)
         if not exchange.has_begun:
--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -163,6 +163,7 @@
                 self._request_head(request, upstream), request.exchange.body
             )
             head, facts = await self._find_answer(request, connection, head)
+            request.framing = head.framing
             self._pools.set_keep_alive(upstream.key, facts.keep_seconds)
             if facts.other_upstream in ("", upstream.id):
                 self._crash_guard.record_alive(upstream.key, request.attempt_started_at)
--- a/src/pepperstep/relay/relayed_request.py
+++ b/src/pepperstep/relay/relayed_request.py
@@ -6,7 +6,7 @@
 from pepperstep.coordination import UpstreamKey
 from pepperstep.coordination.suspects import NO_SUSPICION, Suspicion
 from pepperstep.entities.routes import Route, Service, Workspace
-from pepperstep.ports.exchange import Answer, Exchange
+from pepperstep.ports.exchange import Answer, Exchange, Framing
 from pepperstep.ports.relaying import RequestFacts
 from pepperstep.relay.choice import Choice
 from pepperstep.relay.contents import content_digest
@@ -59,6 +59,10 @@
     # Whether the upstream still has to prefill the prompt.
     is_prefill_pending: bool = False
     events: EventSplitter = field(default_factory=EventSplitter)
+    # Framing of the latest answer's body, None before an answer.
+    framing: Framing | None = None
+    # Whether that body is a stream that ended inside an event.
+    ends_in_event: bool = False
     # What was known of the content when the latest attempt began.
     suspicion: Suspicion = NO_SUSPICION
     _content: int | None = None
--- a/tests/relaying/test_relay.py
+++ b/tests/relaying/test_relay.py
@@ -9,6 +9,7 @@
 from pepperstep.fakes.relaying import FakeExchange, Reply
 from pepperstep.observability.decisions import (
     QuotaExceeded,
+    RequestEnded,
     RequestFailed,
     RequestRefused,
 )
@@ -464,3 +465,19 @@
         each.content for each in events if isinstance(each, RequestFailed)
     ]
     assert first == second != other
+
+
+async def test_log_tells_how_an_answer_was_framed(autojump_clock, monkeypatch):
+    events = []
+    monkeypatch.setattr(logging, "info", lambda text, *values: events.extend(values))
+    framed = (b"transfer-encoding", b"chunked")
+    scripts = [
+        lambda sent: Reply(head(200), EVENTS),
+        lambda sent: Reply(head(200, framed), EVENTS),
+    ]
+    async with open_world() as world:
+        await serve(world, "model", *scripts)
+        for _ in range(20):
+            await world.ask("e0:1", request("/stream/1"))
+    ended = [each for each in events if isinstance(each, RequestEnded)]
+    assert {each.framing for each in ended} == {"close", "chunked"}
