Treat streams that end inside an event as broken off

Callers saw broken streams framed as complete. Cause: an answer without a length or chunks ends with its connection, so a crash in the middle of a stream was read as its end; the host then sent the incomplete event and completed the caller's answer. Nothing was retried or resumed. Change: a stream that ends inside an event, or is closed before its first one, is a fault of its connection, like a reset: resumed where the route allows it, else failed or reset towards the caller. Answers of stream routes that are no event streams are forwarded as bodies, and never continue a stream. The check stands where events are split, which every hop shares. A stand-in of test_signal_properties.py answered stream routes with 'ok', no event; it sends an event now, its bounds stay.

--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -254,8 +254,6 @@
     prompt_tokens: int = 0
     # What marked the end of the upstream's answer: "length", "chunked" or "close".
     framing: str = ""
-    # Whether the answer is a stream that ended inside an event.
-    ends_in_event: bool = False
 
 
 class TableInForce(Decision, tag="routes_in_force"):
--- a/src/pepperstep/relay/answers.py
+++ b/src/pepperstep/relay/answers.py
@@ -4,17 +4,26 @@
 
 import trio
 
-from pepperstep.ports.exchange import Answer, AnswerHead, Exchange, UpstreamConnection
+from pepperstep.ports.exchange import (
+    Answer,
+    AnswerHead,
+    ConnectionFault,
+    Exchange,
+    Framing,
+    UpstreamConnection,
+)
 from pepperstep.ports.relaying import RelayWire
 from pepperstep.relay.relayed_request import RelayedRequest
 
-__all__ = ["AnswerForwarder"]
+__all__ = ["AnswerForwarder", "is_event_stream"]
 
 # Answers up to this size are read completely before their head is forwarded, so that
 # the request can be retried if the answer breaks off.
 _MAX_BUFFERED_BYTES = 262_144
 # Time to send a complete answer to the caller, even past the deadline.
 _SEND_TIMEOUT_SECONDS = 1.0
+_SUCCESS_STATUSES = range(200, 300)
+_EVENT_STREAM = b"text/event-stream"
 
 
 class AnswerForwarder:
@@ -26,7 +35,16 @@
         self._wire = wire
         self._on_first_byte = on_first_byte
 
-    async def forward_body(
+    async def forward(
+        self, request: RelayedRequest, connection: UpstreamConnection, head: AnswerHead
+    ) -> None:
+        """Forward an answer to its end; raise `ConnectionFault` if it broke off."""
+        if request.route.is_stream and is_event_stream(head):
+            await self._forward_events(request, connection, head)
+        else:
+            await self._forward_body(request, connection, head)
+
+    async def _forward_body(
         self, request: RelayedRequest, connection: UpstreamConnection, head: AnswerHead
     ) -> None:
         """Forward a non-streamed answer, buffering a small one until it's complete."""
@@ -51,24 +69,30 @@
         headers = self._wire.write_answer(head, is_framed=True)
         await self.send(request, Answer(head.status, b"".join(pieces), headers))
 
-    async def forward_events(
+    async def _forward_events(
         self, request: RelayedRequest, connection: UpstreamConnection, head: AnswerHead
     ) -> None:
-        """Forward a stream's events as they arrive, only complete ones."""
+        """Forward a stream's events as they arrive, only complete ones.
+
+        A connection that is closed may end an answer without a length or chunks, or
+        break it off. A stream that ends inside an event or before its first one has
+        been broken off.
+        """
         exchange = request.exchange
         events = request.events
         events.take_partial()
+        has_events = False
         async for piece in connection.pieces():
             complete_events = events.feed(piece)
             if complete_events:
+                has_events = True
                 self._on_first_byte(request)
                 await self._forward_piece(exchange, head, complete_events)
-        partial = events.take_partial()
-        request.ends_in_event = bool(partial)
-        if partial:
-            await self._forward_piece(exchange, head, partial)
-        if not exchange.has_begun:
-            await self._forward_piece(exchange, head, b"")
+        if events.has_partial:
+            raise ConnectionFault(f"ended inside an event, by {head.framing}", True)
+        if not has_events and head.framing is Framing.CLOSE:
+            raise ConnectionFault("closed before the first event", True)
+        await self._forward_piece(exchange, head, events.take_partial())
         await exchange.finish()
 
     async def send(self, request: RelayedRequest, answer: Answer) -> None:
@@ -83,8 +107,15 @@
     async def _forward_piece(
         self, exchange: Exchange, head: AnswerHead, data: bytes
     ) -> None:
-        if exchange.has_begun:
+        if not exchange.has_begun:
+            headers = self._wire.write_answer(head, is_framed=True)
+            await exchange.begin(AnswerHead(head.status, headers), data)
+        elif data:
             await exchange.send(data)
-            return
-        headers = self._wire.write_answer(head, is_framed=True)
-        await exchange.begin(AnswerHead(head.status, headers), data)
+
+
+def is_event_stream(head: AnswerHead) -> bool:
+    """Whether an answer of a stream route is a stream, not one whole body."""
+    content_type = head.first(b"content-type").strip().lower()
+    is_stream = not content_type or content_type.startswith(_EVENT_STREAM)
+    return is_stream and head.status in _SUCCESS_STATUSES
--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -15,7 +15,7 @@
     UpstreamConnection,
 )
 from pepperstep.ports.relaying import AnswerFacts, Forwarding, RelayWire
-from pepperstep.relay.answers import AnswerForwarder
+from pepperstep.relay.answers import AnswerForwarder, is_event_stream
 from pepperstep.relay.choice import Choice, Chooser
 from pepperstep.relay.counts import RunCounts
 from pepperstep.relay.crash_guard import CrashGuard
@@ -29,7 +29,6 @@
 
 # Late answers to earlier requests that are skipped before the expected one.
 _MAX_STALE_ANSWERS = 2
-_SUCCESS_STATUSES = range(200, 300)
 _MIN_SERVER_ERROR_STATUS = 500
 _MISDIRECTED_STATUS = 421
 # Source of the news that an upstream is gone: another one answers at its address.
@@ -226,14 +225,11 @@
                 request, upstream, connection, head, facts
             )
         request.may_have_run = True
-        if request.exchange.has_begun and head.status not in _SUCCESS_STATUSES:
+        if request.exchange.has_begun and not is_event_stream(head):
             return await self._discard_failure(request, upstream, connection, head)
         if head.status >= _MIN_SERVER_ERROR_STATUS:
             return await self._store_failure(request, connection, head)
-        if request.route.is_stream:
-            await self._answers.forward_events(request, connection, head)
-        else:
-            await self._answers.forward_body(request, connection, head)
+        await self._answers.forward(request, connection, head)
         request.is_answered = True
         return Outcome.ANSWERED
 
@@ -273,7 +269,7 @@
         connection: UpstreamConnection,
         head: AnswerHead,
     ) -> Outcome:
-        """Discard an error answer to the resumption of a stream.
+        """Discard an answer to the resumption of a stream that doesn't go on with it.
 
         Forwarding its body would insert it into the stream, which would then look
         complete.
--- a/src/pepperstep/relay/peer_forwarding.py
+++ b/src/pepperstep/relay/peer_forwarding.py
@@ -27,7 +27,7 @@
     UpstreamConnector,
 )
 from pepperstep.ports.relaying import RelayWire
-from pepperstep.relay.answers import AnswerForwarder
+from pepperstep.relay.answers import AnswerForwarder, is_event_stream
 from pepperstep.relay.attempt import Outcome
 from pepperstep.relay.relayed_request import RelayedRequest
 
@@ -41,7 +41,6 @@
 _DECLINED_STATUS = 421
 # Further statuses which promise that the request hasn't run.
 _NOT_RUN_STATUSES = frozenset((408, 429, 503))
-_SUCCESS_STATUSES = range(200, 300)
 # Hosts that a request is forwarded to, one after the other, until one accepts it.
 _MAX_HOSTS = 4
 # Pause for a service after a host declined its requests or no host accepted one, and
@@ -152,20 +151,16 @@
             self._pause(host, request.service.name, _DECLINED_PAUSE_SECONDS)
             self._record(request, host, head.status, Outcome.NOT_RUN)
             return Outcome.NOT_RUN
-        is_success = head.status in _SUCCESS_STATUSES
         is_promise = head.status in _NOT_RUN_STATUSES
         # An upstream may have run an earlier attempt, and a stream may have begun.
         contradicts = is_promise and request.may_have_run
-        contradicts |= request.exchange.has_begun and not is_success
+        contradicts |= request.exchange.has_begun and not is_event_stream(head)
         request.may_have_run = request.may_have_run or not is_promise
         if contradicts:
             request.is_in_flight = False
             self._record(request, host, head.status, Outcome.FAILED)
             return Outcome.FAILED
-        if request.route.is_stream and is_success:
-            await self._answers.forward_events(request, connection, head)
-        else:
-            await self._answers.forward_body(request, connection, head)
+        await self._answers.forward(request, connection, head)
         request.is_in_flight = False
         request.is_answered = True
         request.answered_by = host
--- a/src/pepperstep/relay/recorder.py
+++ b/src/pepperstep/relay/recorder.py
@@ -114,7 +114,6 @@
             target_ms=round(1000 * request.route.target_latency),
             prompt_tokens=request.facts.prompt_tokens,
             framing=request.framing or "",
-            ends_in_event=request.ends_in_event,
         )
         logging.info("relay: %s", event)
 
--- a/src/pepperstep/relay/relayed_request.py
+++ b/src/pepperstep/relay/relayed_request.py
@@ -61,8 +61,6 @@
     events: EventSplitter = field(default_factory=EventSplitter)
     # Framing of the latest answer's body, None before an answer.
     framing: Framing | None = None
-    # Whether that body is a stream that ended inside an event.
-    ends_in_event: bool = False
     # What was known of the content when the latest attempt began.
     suspicion: Suspicion = NO_SUSPICION
     _content: int | None = None
--- a/tests/relaying/test_broken_answers.py
+++ b/tests/relaying/test_broken_answers.py
@@ -50,3 +50,69 @@
             )
         else:
             assert exchange.status == 502
+
+
+async def test_stream_closed_before_its_first_event_fails(autojump_clock):
+    async with open_world() as world:
+        await serve(world, "model", lambda sent: stream("close"))
+        exchange = await world.ask("e0:1", request("/stream/1"))
+        assert exchange.status == 502
+
+
+@pytest.mark.parametrize("framing", ["chunked", "length"])
+async def test_empty_stream_whose_framing_is_complete_is_complete(
+    autojump_clock, framing
+):
+    async with open_world() as world:
+        await serve(world, "model", lambda sent: stream(framing))
+        exchange = await world.ask("e0:1", request("/stream/1"))
+        assert (exchange.status, exchange.is_complete) == (200, True)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("partial", [EVENTS[2][:6], EVENTS[2][:-1], b""])
+async def test_stream_that_ends_inside_an_event_is_resumed_after_the_last_whole_one(
+    autojump_clock, framing, partial
+):
+    def upstream(sent) -> Reply:
+        if not sent.head.first(b"last-event-id"):
+            return stream(framing, *EVENTS[:2], partial, breaks=not partial)
+        assert sent.head.first(b"last-event-id") == b"2"
+        return stream(framing, EVENTS[2])
+
+    async with open_world() as world:
+        await serve(world, "model", upstream, upstream)
+        exchange = await world.ask("e0:1", request("/resumable/1"))
+        assert exchange.received == b"".join(EVENTS)
+        assert exchange.is_complete
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+async def test_body_that_is_no_event_stream_reaches_the_caller_whole(
+    autojump_clock, framing
+):
+    json_body = (b"content-type", b"application/json"), *FRAMINGS[framing]
+    answers = {
+        status: Reply(head(status, *json_body), (b'{"error":', b'"too long"}'))
+        for status in (400, 200)
+    }
+    async with open_world() as world:
+        await serve(world, "model", lambda sent: answers[status])
+        for status in answers:
+            exchange = await world.ask("e0:1", request("/stream/1"))
+            assert exchange.status == status
+            assert exchange.received == b'{"error":"too long"}'
+            assert exchange.is_complete
+
+
+async def test_body_that_is_no_event_stream_does_not_continue_a_stream(autojump_clock):
+    def upstream(sent) -> Reply:
+        if not sent.head.first(b"last-event-id"):
+            return stream("close", EVENTS[0], EVENTS[1][:6])
+        return Reply(head(200, (b"content-type", b"application/json")), (b"{}",))
+
+    async with open_world() as world:
+        await serve(world, "model", upstream, upstream)
+        exchange = await world.ask("e0:1", request("/resumable/1"))
+        assert exchange.received == EVENTS[0]
+        assert exchange.is_aborted and not exchange.is_complete
--- a/tests/relaying/test_signal_properties.py
+++ b/tests/relaying/test_signal_properties.py
@@ -90,7 +90,7 @@
             headers.append((b"pepperstep-not-executed", b"1"))
             self.refusals.append((now, host))
             return Reply(AnswerHead(503, tuple(headers)), (b"busy",))
-        return Reply(AnswerHead(200, tuple(headers)), (b"ok",), delay=0.01)
+        return Reply(AnswerHead(200, tuple(headers)), (b"data: ok\n\n",), delay=0.01)
 
     def check_limit(self, excused: dict[str, list[float]]) -> None:
         """Fail if the hosts that know the limit have together exceeded it."""
