Reset HTTP/1.0 callers whose answer is cut off by the end of the process

Cause: an answer to an HTTP/1.0 caller ends with its connection, and a process that ends closes its sockets, so a stream cut off by a shutdown looked complete. Found by going through the ways in which an answer can end. Change: such a connection is set to reset on close while its answer is incomplete, so that a close by the kernel resets it, too.

--- a/src/pepperstep/adapters/http1/connection.py
+++ b/src/pepperstep/adapters/http1/connection.py
@@ -2,6 +2,7 @@
 
 import select
 import socket
+import struct
 from collections.abc import Callable
 
 import h11
@@ -30,6 +31,11 @@
 # receive the refusal.
 _LINGER_SECONDS = 0.5
 _LINGER_BYTES = 8_388_608
+# Values of SO_LINGER: a close resets the connection, or ends it after all data.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_END_ON_CLOSE = struct.pack("ii", 0, 0)
+
+_VERSION_WITHOUT_CHUNKS = b"1.0"
 
 _REASONS = {
     200: b"OK",
@@ -125,6 +131,9 @@
         encoded = self._encode_head(head)
         if data:
             encoded += self._protocol.send(h11.Data(data))
+        if self._protocol.their_http_version == _VERSION_WITHOUT_CHUNKS:
+            # Only the close marks the end, also one by the kernel if this process ends.
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         await self._send(encoded)
 
     async def send(self, data: bytes) -> None:
@@ -136,14 +145,15 @@
         data = self._protocol.send(h11.EndOfMessage())
         if data:
             await self._send(data)
+        elif self._sock.fileno() >= 0:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _END_ON_CLOSE)
 
     def abort(self) -> None:
         """Reset the connection, so that a partial answer can't look complete."""
         if self._sock.fileno() < 0:
             return
-        no_linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
         try:
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         except OSError as error:
             logging.info("http: Connection closed before it could be reset: %s.", error)
         self._sock.close()
--- a/tests/relaying/test_http1.py
+++ b/tests/relaying/test_http1.py
@@ -410,3 +410,54 @@
         caller.close()
         await trio.sleep(0.2)
     assert sent == []
+
+
+class BreakingHandler:
+    """Begins an answer without a length, which ends in a given way."""
+
+    def __init__(self, end: str):
+        self._end = end
+
+    async def handle(self, exchange) -> None:
+        await exchange.begin(AnswerHead(200, ()), b"id: 1\ndata: a\n\n")
+        if self._end == "abort":
+            exchange.abort()
+        elif self._end == "exception":
+            raise RuntimeError("a bug")
+        elif self._end == "end of the process":
+            await trio.sleep_forever()
+        else:
+            await exchange.finish()
+
+
+async def receive_until_end(sock, received: bytes) -> tuple[bytes, bool]:
+    """Return all that a server sends, and whether its connection ends with a reset."""
+    try:
+        with trio.move_on_after(0.5):
+            while data := await sock.recv(65_536):
+                received += data
+    except ConnectionResetError:
+        return received, True
+    return received, False
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+@pytest.mark.parametrize("end", ["abort", "exception", "end of the process", "finish"])
+async def test_answer_that_breaks_off_does_not_look_complete(end, version):
+    handler = BreakingHandler(end)
+    async with open_server(handler.handle) as (address, _):
+        host, _, port = address.partition(":")
+        caller = trio.socket.socket()
+        await caller.connect((host, int(port)))
+        await caller.send(b"GET /a HTTP/" + version + b"\r\nHost: h\r\n\r\n")
+        received = b""
+        while b"data: a" not in received:
+            received += await caller.recv(65_536)
+        if end != "end of the process":
+            rest, is_reset = await receive_until_end(caller, received)
+    if end == "end of the process":
+        rest, is_reset = await receive_until_end(caller, received)
+    caller.close()
+    has_last_chunk = rest.endswith(b"0\r\n\r\n")
+    looks_complete = has_last_chunk if version == b"1.1" else not is_reset
+    assert looks_complete == (end == "finish")
