--- a/tests/relaying/test_broken_answers.py
+++ b/tests/relaying/test_broken_answers.py
@@ -1,8 +1,18 @@
 """Answers of upstreams that break off, by their framing and the way they end."""
 
+import socket
+import struct
+from contextlib import asynccontextmanager
+
 import pytest
+import trio
 
+from pepperstep.adapters.http1 import Http1Connector
 from pepperstep.fakes.relaying import LinkCut, Reply
+from pepperstep.platform import PlatformWire
+from pepperstep.ports.exchange import ConnectionFault
+from pepperstep.relay.answers import AnswerForwarder
+from tests.relaying.test_peer_forwarding import make_request
 from tests.relaying.test_relay import EVENTS, head, serve
 from tests.relaying.world import open_world, request
 
@@ -116,3 +126,86 @@
         exchange = await world.ask("e0:1", request("/resumable/1"))
         assert exchange.received == EVENTS[0]
         assert exchange.is_aborted and not exchange.is_complete
+
+
+WHOLE = EVENTS[0] + EVENTS[1]
+HALF = WHOLE[:-4]
+HEADS = {
+    "close": b"HTTP/1.1 200 OK\r\n\r\n",
+    "close, HTTP/1.0": b"HTTP/1.0 200 OK\r\n\r\n",
+    "length": b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(WHOLE),
+    "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+}
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    """Return data as one chunk."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+@asynccontextmanager
+async def open_ending_upstream(answer: bytes, *, is_reset: bool):
+    """Open a server that sends an answer and ends the connection; yield its address."""
+
+    async def serve_one(stream: trio.SocketStream) -> None:
+        await stream.receive_some()
+        await stream.send_all(answer)
+        if is_reset:
+            # Data that the receiver hasn't read yet would be lost with the reset.
+            await trio.sleep(0.05)
+            linger = struct.pack("ii", 1, 0)
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            stream.socket.close()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        nursery.start_soon(trio.serve_listeners, serve_one, listeners)
+        yield f"127.0.0.1:{port}"
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("is_stream", [True, False])
+@pytest.mark.parametrize(
+    ("framing", "body", "is_reset", "is_whole"),
+    [
+        ("close", WHOLE, False, True),
+        ("close", WHOLE, True, False),
+        ("close", HALF, False, False),
+        ("close", HALF, True, False),
+        ("close", b"", True, False),
+        ("close, HTTP/1.0", WHOLE, False, True),
+        ("close, HTTP/1.0", HALF, False, False),
+        ("close, HTTP/1.0", WHOLE, True, False),
+        ("length", WHOLE, False, True),
+        ("length", EVENTS[0], False, False),
+        ("length", HALF, False, False),
+        ("length", EVENTS[0], True, False),
+        ("chunked", chunk(WHOLE) + LAST_CHUNK, False, True),
+        ("chunked", chunk(WHOLE), False, False),
+        ("chunked", chunk(WHOLE), True, False),
+        ("chunked", chunk(WHOLE)[:-8], False, False),
+        ("chunked", chunk(HALF) + LAST_CHUNK, False, False),
+    ],
+)
+async def test_answer_counts_as_complete_only_if_its_upstream_ended_it(
+    framing, body, is_reset, is_whole, is_stream
+):
+    if not is_stream and body in (HALF, chunk(HALF) + LAST_CHUNK) and not is_reset:
+        # The framing alone marks the end of a body that isn't a stream.
+        is_whole = framing != "length"
+    sent = make_request(is_stream)
+    answer = HEADS[framing] + body
+    async with open_ending_upstream(answer, is_reset=is_reset) as address:
+        connection = await Http1Connector(trio.current_time).connect(address, 1.0)
+        forwarder = AnswerForwarder(PlatformWire(), lambda request: None)
+        received = await connection.send(sent.exchange.head, b"body")
+        if is_whole:
+            await forwarder.forward(sent, connection, received)
+        else:
+            with pytest.raises(ConnectionFault) as caught:
+                await forwarder.forward(sent, connection, received)
+            assert caught.value.was_sent
+        connection.close()
+    assert sent.exchange.is_complete == is_whole
