Log the software version of chosen upstreams and what a resumption names

Cause: request_chosen names upstreams, not their versions, and doesn't tell a resumption from a new stream, so the hypotheses on mixed streams can't be told apart. Change: the line has the version, the last event and the attempt named in Resumes. Result: a test of the line; test_relay.py, test_platform.py and tests/observability pass.

--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -58,6 +58,12 @@
     first_token_ms: int = 0
     # Time since the request's arrival.
     since_arrival_ms: int = 0
+    # Software version that the upstream announces.
+    software: str = ""
+    # For a stream that is resumed: the last event that the caller has, and the attempt
+    # that brought the first one, as the caller states it.
+    last_event: str = ""
+    resumes: str = ""
 
 
 class RequestFailed(Decision, tag="attempt_failed"):
--- a/src/pepperstep/platform/names.py
+++ b/src/pepperstep/platform/names.py
@@ -27,6 +27,7 @@
     "ROLLOUT_READ",
     "ROLLOUT_START",
     "RESERVED",
+    "RESUMES",
     "SCALE",
     "SERVER_LEAVING",
     "SERVER_LIMIT",
@@ -55,6 +56,8 @@
 # Ids and sizes of the parts of the prompt.
 PARTS = b"pepperstep-prompt-prefix"
 PRIORITY = b"pepperstep-request-priority"
+# Caller's attempt that brought the first event of a stream that is resumed.
+RESUMES = b"resumes"
 TENANT = b"pepperstep-tenant"
 # Number of prompt tokens, and maximum number of answer tokens.
 TOKENS = b"pepperstep-token-counts"
--- a/src/pepperstep/platform/wire.py
+++ b/src/pepperstep/platform/wire.py
@@ -49,6 +49,7 @@
             expected_tokens=_parse_integer(values.get(names.LENGTH_HINT, b"")),
             prompt_parts=_parse_prompt_parts(values.get(names.PARTS, b"")),
             last_event_id=values.get(names.LAST_EVENT, b""),
+            resumes=values.get(names.RESUMES, b""),
         )
 
     def write_request(self, head: RequestHead, forwarding: Forwarding) -> RequestHead:
--- a/src/pepperstep/ports/relaying.py
+++ b/src/pepperstep/ports/relaying.py
@@ -38,6 +38,8 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     # Event after which a stream resumes, b"" to start at its beginning.
     last_event_id: bytes = b""
+    # Caller's attempt that brought the first event of the stream, b"" if not stated.
+    resumes: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pepperstep/relay/recorder.py
+++ b/src/pepperstep/relay/recorder.py
@@ -24,9 +24,9 @@
 __all__ = ["RelayRecorder"]
 
 _UNKNOWN_CLASS = "none"
-# Limit on a request's target in a log line. Routes' hosts and prefixes are shorter, but
-# callers may send targets of any length.
-_MAX_TARGET_CHARS = 120
+# Limit on a target or a header in a log line. Routes' hosts and prefixes and ids of
+# attempts are shorter, but callers may send values of any length.
+_MAX_CHARS = 120
 
 
 class RelayRecorder:
@@ -58,6 +58,9 @@
             missing_tokens=choice.missing,
             first_token_ms=round(1000 * choice.first_token),
             since_arrival_ms=self._age_ms(request.exchange),
+            software=choice.upstream.software,
+            last_event=_text(request.events.last_id or request.facts.last_event_id),
+            resumes=_text(request.facts.resumes),
         )
         logging.info("relay: %s", event)
 
@@ -186,11 +189,16 @@
         return round(1000 * (self._timers.now() - exchange.arrived_at))
 
 
+def _text(value: bytes) -> str:
+    """Return a header's value for a log line, truncated to the limit."""
+    return value.decode("latin-1")[:_MAX_CHARS]
+
+
 def truncated_target(head: RequestHead) -> str:
     """Return the requested host and path, truncated to the limit."""
     host = head.first(b"host").decode("latin-1")
     path = head.target.decode("latin-1").partition("?")[0]
-    return f"{host}{path}"[:_MAX_TARGET_CHARS]
+    return f"{host}{path}"[:_MAX_CHARS]
 
 
 def metric_class(request: RelayedRequest) -> str:
--- a/tests/relaying/test_relay.py
+++ b/tests/relaying/test_relay.py
@@ -9,6 +9,7 @@
 from pepperstep.fakes.relaying import FakeExchange, Reply
 from pepperstep.observability.decisions import (
     QuotaExceeded,
+    RequestChosen,
     RequestEnded,
     RequestFailed,
     RequestRefused,
@@ -481,3 +482,18 @@
             await world.ask("e0:1", request("/stream/1"))
     ended = [each for each in events if isinstance(each, RequestEnded)]
     assert {each.framing for each in ended} == {"close", "chunked"}
+
+
+async def test_log_tells_at_which_version_a_stream_is_resumed(
+    autojump_clock, monkeypatch
+):
+    events = []
+    monkeypatch.setattr(logging, "info", lambda text, *values: events.extend(values))
+    async with open_world() as world:
+        await serve(world, "model", lambda sent: Reply(head(200), EVENTS[1:]))
+        await world.announce("c0:1", "model0", "model", sequence=2, software="v1")
+        await trio.sleep(1.0)
+        resumed = (b"last-event-id", b"1"), (b"resumes", b"id-0")
+        await world.ask("e0:1", request("/resumable/1", *resumed))
+    [chosen] = [each for each in events if isinstance(each, RequestChosen)]
+    assert (chosen.software, chosen.last_event, chosen.resumes) == ("v1", "1", "id-0")
