--- /dev/null
+++ b/tests/relaying/test_stream_versions.py
@@ -0,0 +1,264 @@
+"""Streams that are resumed while upstreams of several software versions serve."""
+
+import random
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
+
+import pytest
+import trio
+
+from pepperstep.fakes.relaying import FakeExchange, LinkCut, Reply
+from pepperstep.ports.exchange import AnswerHead, CallerGone, RequestHead
+from tests.relaying.world import KEY, open_world
+
+EVENT_COUNT = 5
+# Fraction of the runs that break off, half of them inside an event.
+BREAK_SHARE = 0.4
+# Time after which a caller comes back, and tries of one caller.
+RETURN_SECONDS = 0.01
+MAX_TRIES = 4
+STREAM = (b"content-type", b"text/event-stream")
+SEEDS = ("c0:1", "c1:1", "c2:1")
+
+
+@dataclass
+class Engine:
+    """An upstream of one software version, whose runs may break off."""
+
+    software: str
+    rng: random.Random
+    break_share: float = BREAK_SHARE
+    delay: float = 0.02
+    # Runs that began at an event after the first one.
+    resumed: int = 0
+
+    def answer(self, sent) -> Reply:
+        """Return the events after the last one, each with this version."""
+        last = int(sent.head.first(b"last-event-id") or 0)
+        self.resumed += last > 0
+        events = [
+            b"id: %d\ndata: %s\n\n" % (number, self.software.encode())
+            for number in range(last + 1, EVENT_COUNT + 1)
+        ]
+        attempt = sent.head.first(b"pepperstep-attempt-id")
+        head = AnswerHead(200, ((b"pepperstep-attempt-id", attempt), STREAM))
+        is_reset = False
+        if self.rng.random() < self.break_share:
+            kept = self.rng.randrange(len(events)) if events else 0
+            partial = events[kept][:7] if events and self.rng.random() < 0.5 else b""
+            events = [*events[:kept], partial] if partial else events[:kept]
+            is_reset = not partial
+        return Reply(head, tuple(events), is_reset, delay=self.delay, pause=0.005)
+
+
+@dataclass
+class Stream:
+    """A stream as its caller has received it, over all tries."""
+
+    # Host and version of each event, in order.
+    events: list[tuple[str, str]] = field(default_factory=list)
+    ids: list[int] = field(default_factory=list)
+    is_complete: bool = False
+    # Attempt that brought the first event.
+    began_as: bytes = b""
+    statuses: list[int] = field(default_factory=list)
+    # Whether the caller came back for the rest, and whether any of it was served.
+    came_back: bool = False
+    went_on: bool = False
+
+    @property
+    def versions(self) -> set[str]:
+        """Versions whose events the stream holds."""
+        return {version for _, version in self.events}
+
+    def receive(self, host: str, data: bytes) -> None:
+        """Take in the complete events of one answer."""
+        for block in data.split(b"\n\n")[:-1]:
+            number, version = block.removeprefix(b"id: ").split(b"\ndata: ")
+            self.ids.append(int(number))
+            self.events.append((host, version.decode()))
+
+
+class Callers:
+    """Callers that take up broken streams at other hosts."""
+
+    def __init__(self, world, seed: int = 0):
+        self.world = world
+        self.rng = random.Random(seed)
+        self.streams: list[Stream] = []
+        self._scopes: dict[str, set[trio.CancelScope]] = {}
+        # Hosts that callers don't connect to.
+        self.avoided: set[str] = set()
+        # Returns the host at which a caller comes back.
+        self.next_host = self._other_host
+        # Awaited with the host of a broken stream before its caller comes back.
+        self.before_return = None
+
+    async def run(self, count: int, interval: float = 0.02) -> None:
+        """Begin `count` streams."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                stream = Stream()
+                self.streams.append(stream)
+                nursery.start_soon(self._call, stream)
+                await trio.sleep(self.rng.expovariate(1 / interval))
+
+    def disconnect(self, host: str) -> None:
+        """Break all callers' connections to a host."""
+        for scope in list(self._scopes.pop(host, ())):
+            scope.cancel()
+
+    @property
+    def mixed(self) -> list[Stream]:
+        """Streams with events of several versions."""
+        return [each for each in self.streams if len(each.versions) > 1]
+
+    def check_events(self) -> None:
+        """Fail if an event is missing or came twice."""
+        for stream in self.streams:
+            assert stream.ids == list(range(1, len(stream.ids) + 1))
+            assert not stream.is_complete or len(stream.ids) == EVENT_COUNT
+
+    def shares(self) -> tuple[float, float]:
+        """Return the shares of new streams that begin, and of resumed that go on."""
+        begun = sum(bool(each.ids) for each in self.streams)
+        returned = [each for each in self.streams if each.came_back]
+        went_on = sum(each.went_on for each in returned)
+        return begun / len(self.streams), went_on / max(1, len(returned))
+
+    def _other_host(self, host: str) -> str:
+        others = set(self.world.entries) - {host} - self.avoided
+        return self.rng.choice(sorted(others))
+
+    async def _call(self, stream: Stream) -> None:
+        hosts = sorted(set(self.world.entries) - self.avoided)
+        host = self.rng.choice(hosts)
+        for _ in range(MAX_TRIES):
+            await self._try(stream, host)
+            if stream.is_complete or not stream.ids:
+                return
+            if self.before_return is not None:
+                await self.before_return(host)
+            await trio.sleep(RETURN_SECONDS)
+            host = self.next_host(host)
+
+    async def _try(self, stream: Stream, host: str) -> None:
+        attempt = b"%016x" % self.rng.getrandbits(64)
+        head = resumable_request(attempt, stream)
+        exchange = FakeExchange(head, b"", trio.current_time())
+        count = len(stream.ids)
+        with trio.CancelScope() as scope:
+            self._scopes.setdefault(host, set()).add(scope)
+            with suppress(CallerGone):
+                await self.world.entries[host].relay.handle(exchange)
+        self._scopes.get(host, set()).discard(scope)
+        stream.statuses.append(exchange.status)
+        if exchange.status == 200:
+            stream.receive(host, exchange.received)
+            stream.is_complete = exchange.is_complete
+        if stream.ids and not count:
+            stream.began_as = attempt
+        stream.came_back |= count > 0
+        stream.went_on |= count > 0 and (
+            len(stream.ids) > count or exchange.is_complete
+        )
+
+
+def resumable_request(attempt: bytes, stream: Stream) -> RequestHead:
+    """Return a request for a stream, or for the rest of one that has begun."""
+    headers = [
+        (b"host", b"a.example"),
+        (b"pepperstep-attempt-id", attempt),
+        (b"pepperstep-deadline-ms", b"1500"),
+        (b"authorization", f"Bearer {KEY}".encode()),
+    ]
+    if stream.ids:
+        headers.append((b"last-event-id", b"%d" % stream.ids[-1]))
+        headers.append((b"resumes", stream.began_as))
+    return RequestHead(b"POST", b"/resumable/1", tuple(headers))
+
+
+@asynccontextmanager
+async def open_versions(entries: int = 6, seed: int = 0, versions=("v1", "v2")):
+    """Open a world with four upstreams of each version; yield it and its engines."""
+    async with open_world(entries=entries, seed=seed) as world:
+        rng = random.Random(seed)
+        engines = {}
+        for version in versions:
+            for number in range(4):
+                name = f"{version}-{number}"
+                engines[name] = Engine(version, rng)
+                world.connector.scripts[f"{name}:80"] = engines[name].answer
+                await world.announce("c0:1", name, "model", software=version, slots=64)
+        await trio.sleep(4.0)
+        yield world, engines
+
+
+async def restart(world, callers: Callers, host: str) -> None:
+    """Kill a host and start it again."""
+    world.kill(host)
+    callers.disconnect(host)
+    await world.start_entry(host, SEEDS)
+
+
+async def restart_in_turn(world, callers: Callers) -> None:
+    """Restart one host after the other until cancelled."""
+    while True:
+        for host in sorted(world.entries):
+            await trio.sleep(1.0)
+            await restart(world, callers, host)
+
+
+def cut_off_from_hosts(world, host: str) -> None:
+    """Cut a host off from all other hosts, not from upstreams and callers."""
+    world.cut_off(host, [*world.controls, *world.entries])
+
+
+class Fault:
+    """A disruption of the hosts while callers resume streams."""
+
+    async def none(self, world, callers, nursery) -> None:
+        """Leave the hosts alone."""
+
+    async def restarts(self, world, callers, nursery) -> None:
+        """Restart the hosts in turn."""
+        nursery.start_soon(restart_in_turn, world, callers)
+
+    async def dead(self, world, callers, nursery) -> None:
+        """Kill two hosts for good, in the middle."""
+
+        async def kill() -> None:
+            for host in ("e1:1", "e2:1"):
+                await trio.sleep(3.0)
+                world.kill(host)
+                callers.disconnect(host)
+
+        nursery.start_soon(kill)
+
+    async def cut_off(self, world, callers, nursery) -> None:
+        """Cut two hosts off from all others; callers still use them."""
+        for host in ("e1:1", "e2:1"):
+            cut_off_from_hosts(world, host)
+
+    async def forwarding(self, world, callers, nursery) -> None:
+        """Cut two hosts off from all upstreams."""
+        for host in ("e1:1", "e2:1"):
+            world.connector.cut(host, LinkCut.RESET)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("fault", ["none", "restarts", "dead", "cut_off", "forwarding"])
+async def test_streams_that_are_resumed_do_not_mix_software_versions(
+    autojump_clock, fault, seed
+):
+    async with open_versions(seed=seed) as (world, _):
+        callers = Callers(world, seed)
+        async with trio.open_nursery() as nursery:
+            await getattr(Fault(), fault)(world, callers, nursery)
+            await callers.run(600)
+            nursery.cancel_scope.cancel()
+        callers.check_events()
+        assert len(callers.mixed) == 0
+        begun, went_on = callers.shares()
+        # A host that is cut off can't know the versions of other hosts' streams.
+        assert went_on >= begun / 2 or fault == "cut_off"
