Tests of forwarded streams that are resumed

Cause: the forwarding of an origin was tested through whole hosts only. Change: over sockets, the origin arrives, and hosts with older routes and of an earlier release (its check of the routes version) decline a resumed stream.

--- a/tests/relaying/test_peer_forwarding.py
+++ b/tests/relaying/test_peer_forwarding.py
@@ -8,6 +8,7 @@
 
 from pepperstep.adapters.http1 import Http1Connector
 from pepperstep.adapters.timers import TrioTimers
+from pepperstep.coordination import StreamOrigin
 from pepperstep.entities.routes import Repetition, Route, Service, Share
 from pepperstep.fakes.relaying import FakeExchange
 from pepperstep.observability.relay_metrics import RelayMetrics
@@ -40,6 +41,7 @@
     def __post_init__(self):
         self.seen = []
         self.attempts: list[int | None] = []
+        self.origins: list[StreamOrigin | None] = []
         self.has_lost_sender = False
         self.forwarded = ForwardedRequests(
             self._serve, lambda: True, lambda: self.version, trio.current_time
@@ -50,6 +52,7 @@
             raise Declined
         self.seen.append(exchange.head)
         self.attempts.append(attempts)
+        self.origins.append(origin)
         if not self.pieces:
             with trio.CancelScope() as scope:
                 exchange.cancel_when_disconnected(scope)
@@ -174,3 +177,43 @@
             while not peer.has_lost_sender:
                 await trio.sleep(0.01)
     assert peer.forwarded.in_flight == 0
+
+
+async def test_resumed_stream_is_passed_on_with_its_origin():
+    peer = Peer()
+    sent = make_request()
+    now = trio.current_time()
+    sent.origin = StreamOrigin("model/ä", "v1 2", ("u1", 7), now)
+    async with open_server(peer.forwarded.handle) as (address, _):
+        outcome = await make_forwarder(address).forward(sent, is_admitted=False)
+    assert outcome is Outcome.ANSWERED
+    [origin] = peer.origins
+    assert (origin.service, origin.software) == ("model/ä", "v1 2")
+    assert not any(name.startswith(b"forwarded-") for name, _ in peer.seen[0].headers)
+
+
+async def test_resumed_stream_is_declined_by_a_host_with_older_routes():
+    peer = Peer(version=ROUTES_VERSION - 1)
+    sent = make_request()
+    sent.origin = StreamOrigin("model", "v1", ("u1", 7), trio.current_time())
+    async with open_server(peer.forwarded.handle) as (address, _):
+        outcome = await make_forwarder(address).forward(sent, is_admitted=False)
+    assert outcome is Outcome.NOT_RUN and not peer.seen
+
+
+@pytest.mark.parametrize("is_resumed", [False, True])
+async def test_host_of_an_earlier_release_declines_only_resumed_streams(is_resumed):
+    async def answer_as_before(exchange) -> None:
+        version = int(exchange.head.first(b"forwarded-routes-version"))
+        if version > ROUTES_VERSION:
+            await exchange.answer(Answer(421))
+            return
+        await exchange.begin(AnswerHead(200, ()), b"id: 1\ndata: a\n\n")
+        await exchange.finish()
+
+    sent = make_request()
+    if is_resumed:
+        sent.origin = StreamOrigin("model", "v1", ("u1", 7), trio.current_time())
+    async with open_server(answer_as_before) as (address, _):
+        outcome = await make_forwarder(address).forward(sent, is_admitted=False)
+    assert outcome is (Outcome.NOT_RUN if is_resumed else Outcome.ANSWERED)
