Doubt the announced version of upstreams that couldn't be connected to

Callers got streams of two versions where an upstream had restarted under its id with other software, and its announcement was still on its way. Cause: a host recorded the announced version as a stream's origin, or resumed a stream there by it, without a sign of the restart. Change: for 5 s after a failed connection the host gives streams that begin at the upstream no origin, and resumes none there.

--- a/src/pepperstep/programs/entry_host.py
+++ b/src/pepperstep/programs/entry_host.py
@@ -145,6 +145,7 @@
             self.catalog,
             ports.timers,
             self._true_time,
+            self._pools.may_have_restarted,
         )
         self._chooser = Chooser(
             self.catalog,
--- a/src/pepperstep/relay/choice.py
+++ b/src/pepperstep/relay/choice.py
@@ -308,7 +308,12 @@
         usable = self._catalog.usable(service.name)
         if software is not None:
             selected = self._versions.select_bound(service.name, usable, software)
-            return [each for each in selected if not self._backoff.is_held(each.key)]
+            return [
+                each
+                for each in selected
+                if not self._backoff.is_held(each.key)
+                and not self._pools.may_have_restarted(each.key)
+            ]
         selected = self._versions.select(service.name, usable, facts, tried)
         if selected and self._backoff.shortest_remaining(each.key for each in selected):
             failed = {each.key for each in selected}
--- a/src/pepperstep/relay/pools.py
+++ b/src/pepperstep/relay/pools.py
@@ -23,6 +23,9 @@
 # Fraction of an upstream's connection limit that the hosts use. The rest covers hosts
 # that start while other hosts still hold connections.
 _USED_CONNECTIONS_FRACTION = 0.8
+# Time after a failed connection for which an upstream may have started again without
+# this host's knowledge. Upstreams announce themselves every second or so.
+_RESTART_NOTICE_SECONDS = 5.0
 
 
 class _Pool:
@@ -57,6 +60,17 @@
         self._host_count = host_count
         self._now = now
         self._pools: dict[UpstreamKey, _Pool] = {}
+        # Monotonic time at which each upstream couldn't be connected to the last time.
+        self._unreachable_at: dict[UpstreamKey, float] = {}
+
+    def may_have_restarted(self, upstream: UpstreamKey) -> bool:
+        """Whether an upstream may be another process than the announced one.
+
+        One that couldn't be connected to a moment ago may have started again since,
+        with other software, and its announcement may still be on its way.
+        """
+        failed_at = self._unreachable_at.get(upstream, float("-inf"))
+        return self._now() - failed_at < _RESTART_NOTICE_SECONDS
 
     def has_room(self, upstream: UpstreamKey, max_connections: int) -> bool:
         """Whether this host may send an upstream one more request."""
@@ -78,7 +92,7 @@
         pool.in_use += 1
         if connection is None:
             try:
-                connection = await self._connect(pool, address)
+                connection = await self._connect(upstream, pool, address)
             except BaseException:
                 pool.in_use -= 1
                 raise
@@ -94,7 +108,7 @@
         """Open a connection for later requests; return False if it can't be opened."""
         pool = self._pools.setdefault(upstream, _Pool())
         try:
-            connection = await self._connect(pool, address)
+            connection = await self._connect(upstream, pool, address)
         except ConnectionFault:
             return False
         self._pools.setdefault(upstream, pool).idle.append(connection)
@@ -143,12 +157,23 @@
     def close_expired(self) -> None:
         """Close the connections that have exceeded their maximum idle time."""
         now = self._now()
+        for upstream in list(self._unreachable_at):
+            if not self.may_have_restarted(upstream):
+                del self._unreachable_at[upstream]
         for pool in self._pools.values():
             while pool.idle and now - pool.idle[0].idle_since > pool.keep_alive_seconds:
                 pool.idle.pop(0).close()
 
-    async def _connect(self, pool: _Pool, address: str) -> UpstreamConnection:
-        connection = await self._connector.connect(address, _CONNECT_TIMEOUT_SECONDS)
+    async def _connect(
+        self, upstream: UpstreamKey, pool: _Pool, address: str
+    ) -> UpstreamConnection:
+        try:
+            connection = await self._connector.connect(
+                address, _CONNECT_TIMEOUT_SECONDS
+            )
+        except ConnectionFault:
+            self._unreachable_at[upstream] = self._now()
+            raise
         pool.connected_at = self._now()
         return connection
 
--- a/src/pepperstep/relay/stream_origins.py
+++ b/src/pepperstep/relay/stream_origins.py
@@ -18,7 +18,7 @@
 import xxhash
 from absl import logging
 
-from pepperstep.coordination import StreamOrigin, UpstreamCatalog
+from pepperstep.coordination import StreamOrigin, UpstreamCatalog, UpstreamKey
 from pepperstep.observability.decisions import StreamOriginSought
 from pepperstep.ports import PeerNetwork, Timers
 from pepperstep.proto import coordination_pb2 as pb
@@ -50,7 +50,8 @@
 class StreamOrigins:
     """The origins that this host knows, and those that it asks owners for.
 
-    `true_time` returns the Unix time on which the hosts agree.
+    `may_have_restarted` returns whether an upstream may run other software than
+    announced. `true_time` returns the Unix time on which the hosts agree.
     """
 
     def __init__(
@@ -60,11 +61,13 @@
         catalog: UpstreamCatalog,
         timers: Timers,
         true_time: Callable[[], float],
+        may_have_restarted: Callable[[UpstreamKey], bool] = lambda upstream: False,
     ):
         self._owners = owners
         self._catalog = catalog
         self._timers = timers
         self._true_time = true_time
+        self._may_have_restarted = may_have_restarted
         self._origins: OrderedDict[bytes, StreamOrigin] = OrderedDict()
         self._nursery: trio.Nursery | None = None
         network.handle(pb.StreamOrigin, self._on_origin)
@@ -85,14 +88,14 @@
         upstream = request.choice.upstream
         now = self._timers.now()
         if request.origin is None:
-            request.origin = StreamOrigin(
-                upstream.service, upstream.software, upstream.key, now
-            )
+            is_certain = not self._may_have_restarted(upstream.key)
+            software = upstream.software if is_certain else None
+            request.origin = StreamOrigin(upstream.service, software, upstream.key, now)
         wait = min(max(0.0, request.deadline - now), _MAX_LIFETIME_SECONDS)
         expires_at = now + wait + _MARGIN_SECONDS
         stream = _digest(request.workspace_name, request.facts.attempt_id)
         self._keep(stream, replace(request.origin, expires_at=expires_at))
-        if self._nursery is not None:
+        if request.origin.software is not None and self._nursery is not None:
             self._nursery.start_soon(self._report, stream)
 
     async def find(self, request: RelayedRequest) -> StreamOrigin | None:
--- a/tests/relaying/test_stream_versions.py
+++ b/tests/relaying/test_stream_versions.py
@@ -451,7 +451,7 @@
         assert begun > 0.5 and went_on >= begun / 2
 
 
-@pytest.mark.parametrize("is_heard", [True])
+@pytest.mark.parametrize("is_heard", [True, False])
 async def test_upstream_back_at_another_version_under_its_id_mixes_nothing(
     autojump_clock, is_heard
 ):
