Forward no headers of callers that look like the sending host's

Cause: a caller's own forwarded-attempts or forwarded-origin was sent on to the other entry host, which took it for the sending host's word: the request wasn't charged to its quota, or was bound to a software version. Found while the origin's header was read again. Change: these headers of callers are left out. Result: the new test failed before and passes.

--- a/src/pepperstep/relay/peer_forwarding.py
+++ b/src/pepperstep/relay/peer_forwarding.py
@@ -180,7 +180,7 @@
     def _request_head(self, request: RelayedRequest, is_admitted: bool) -> RequestHead:
         wait = request.deadline - self._timers.now()
         head = self._wire.write_forwarded(
-            request.exchange.head, wait, request.events.last_id
+            _without_own_headers(request.exchange.head), wait, request.events.last_id
         )
         version = b"%d" % self._routes_version()
         headers = [(_ROUTES_VERSION, version)]
--- a/tests/relaying/test_peer_forwarding.py
+++ b/tests/relaying/test_peer_forwarding.py
@@ -13,7 +13,7 @@
 from pepperstep.fakes.relaying import FakeExchange
 from pepperstep.observability.relay_metrics import RelayMetrics
 from pepperstep.platform import PlatformWire
-from pepperstep.ports.exchange import Answer, AnswerHead, CallerGone
+from pepperstep.ports.exchange import Answer, AnswerHead, CallerGone, RequestHead
 from pepperstep.relay.attempt import Outcome
 from pepperstep.relay.peer_forwarding import (
     Declined,
@@ -217,3 +217,14 @@
     async with open_server(answer_as_before) as (address, _):
         outcome = await make_forwarder(address).forward(sent, is_admitted=False)
     assert outcome is (Outcome.NOT_RUN if is_resumed else Outcome.ANSWERED)
+
+
+async def test_callers_headers_are_not_taken_for_the_sending_hosts():
+    peer = Peer()
+    sent = make_request()
+    head = sent.exchange.head
+    forged = (b"forwarded-origin", b"model v9"), (b"forwarded-attempts", b"7")
+    sent.exchange.head = RequestHead(head.method, head.target, (*head.headers, *forged))
+    async with open_server(peer.forwarded.handle) as (address, _):
+        await make_forwarder(address).forward(sent, is_admitted=False)
+    assert (peer.origins, peer.attempts) == ([None], [None])
