--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -33,7 +33,42 @@
 _RETRY_AFTER = "tests/relaying/test_retry_after.py::"
 _RESTARTS = "tests/relaying/test_upstream_restarts.py::"
 
+_BROKEN = "tests/relaying/test_broken_answers.py::"
+_VERSIONS = "tests/relaying/test_stream_versions.py::"
+
 RELAY_MECHANISMS = (
+    Mechanism(
+        2,
+        "a stream that ends inside an event has been broken off",
+        "relay/answers.py",
+        "        if events.has_partial:\n",
+        "        if False:\n",
+        (
+            f"{_BROKEN}test_stream_that_ends_inside_an_event_does_not_look_complete",
+            f"{_BROKEN}test_stream_that_ends_inside_an_event_is_resumed_after_the_last"
+            "_whole_one",
+        ),
+    ),
+    Mechanism(
+        2,
+        "a stream goes on at the software version that began it",
+        "relay/choice.py",
+        "        if software is not None:\n"
+        "            selected = self._versions.select_bound(",
+        "        if False:\n            selected = self._versions.select_bound(",
+        (f"{_VERSIONS}test_streams_that_are_resumed_do_not_mix_software_versions",),
+    ),
+    Mechanism(
+        2,
+        "other hosts keep the origin of a stream",
+        "relay/stream_origins.py",
+        "            self._nursery.start_soon(self._report, stream)",
+        "            pass",
+        (
+            f"{_VERSIONS}test_stream_goes_on_right_after_the_host_that_served_it_has"
+            "_ended",
+        ),
+    ),
     Mechanism(
         5,
         "an upstream that says in an answer that it leaves is taken at its word",
--- a/src/pepperstep/relay/stream_origins.py
+++ b/src/pepperstep/relay/stream_origins.py
@@ -41,7 +41,7 @@
 _MARGIN_SECONDS = 10.0
 # Longest time for which a stream's origin is kept.
 _MAX_LIFETIME_SECONDS = 600.0
-# Origins that are kept; one takes about 400 bytes.
+# Origins that are kept; one takes about 500 bytes.
 _MAX_ORIGINS = 20_000
 # Bound of the difference between an upstream's and this host's clock.
 _CLOCK_TOLERANCE_SECONDS = 1.0
