Finish other entry hosts' streams before a host ends

Cause: the drain waits for the connections of the host's own callers only. Change: it waits for forwarded requests, too; new ones are declined from the stop on, as before.

--- a/src/pepperstep/programs/relay_daemon.py
+++ b/src/pepperstep/programs/relay_daemon.py
@@ -265,7 +265,10 @@
     settings: RelaySettings,
     timers: TrioTimers,
 ) -> None:
-    """Answer requests in flight and those from callers with cached addresses."""
+    """Answer requests in flight and those from callers with cached addresses.
+
+    Requests of other entry hosts that this one works on count, too.
+    """
     entry.leave()
     server.announce_closing()
     started = timers.now()
@@ -274,7 +277,8 @@
     while True:
         await timers.sleep(_POLL_SECONDS)
         elapsed = timers.now() - started
-        if elapsed >= grace or (elapsed >= cached_seconds and not server.busy_count):
+        is_busy = server.busy_count or entry.forwarded.in_flight
+        if elapsed >= grace or (elapsed >= cached_seconds and not is_busy):
             return
 
 
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -76,6 +76,8 @@
         self.acknowledged: set[str] = set()
         # Announced software version.
         self.version = "v1"
+        # Seconds between two events of a stream.
+        self.pause = 0.2
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer with a stream of three events, or with the body of the request.
@@ -95,7 +97,7 @@
         else:
             await exchange.begin(AnswerHead(200, headers), b"id: 1\ndata: a\n\n")
             for number in (2, 3):
-                await trio.sleep(0.2)
+                await trio.sleep(self.pause)
                 await exchange.send(b"id: %d\ndata: b\n\n" % number)
             await exchange.finish()
 
@@ -233,6 +235,21 @@
         all_headers = tuple((common | dict(headers)).items())
         return await self._send(ip, 3, b"POST", path, body, all_headers)
 
+    async def forward(
+        self, name: str, path: str, *headers: tuple[bytes, bytes]
+    ) -> Received | None:
+        """Send a request to an entry host as another entry host forwards it.
+
+        Return None if the connection fails or no answer arrives in time.
+        """
+        own = (
+            (b"pepperstep-attempt-id", b"9c41"),
+            (b"pepperstep-deadline-ms", b"10000"),
+            (b"forwarded-routes-version", b"0"),
+        )
+        ip = self.daemons[name].ip
+        return await self._send(ip, 1, b"POST", path, b"", (*own, *headers))
+
     async def is_ready(self, name: str) -> bool:
         """Whether an entry host reports that it is ready."""
         received = await self._send(self.daemons[name].ip, 4, b"GET", "/-/ready")
@@ -329,7 +346,7 @@
             "region": "r1",
             "zones": {"z1": "r1"},
             "listen": listen,
-            "internal_ports": [port, port],
+            "internal_ports": [port, port if is_control else port + 1],
             "seed_nodes": [f"{self._ip(seed)}:{port + 1}" for seed in seeds],
             "bootstrap": is_first,
             "data_dir": str(self._folder / f"{name}-data") if is_control else None,
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -169,3 +169,24 @@
     }
     result = run_daemon(tmp_path, json.dumps(settings))
     assert (result.returncode, result.stdout) == (0, "The settings are valid.\n")
+
+
+async def test_drain_finishes_streams_of_other_entry_hosts(tmp_path):
+    async with Site.open(tmp_path) as site:
+        upstream = await start_all(site)
+        upstream.pause = 2.6
+        answers = []
+
+        async def forward() -> None:
+            answers.append(await site.forward("entry-4", "/stream/1", KEY))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(forward)
+            await trio.sleep(0.5)
+            site.daemons["entry-4"].stop()
+            await trio.sleep(0.5)
+            declined = await site.forward("entry-4", "/stream/1", KEY)
+        assert declined.status == 421
+        [answer] = answers
+        assert answer is not None and answer.body.count(b"data:") == 3
+        assert await site.wait_end("entry-4") == 0
