Bind resumed streams in a module of their own

Change: they stand in relay/resumptions.py, with their refusals. Result: none of logic; the tests of streams, the relay, forwarding, cut-off hosts, imports and proofs pass.

--- a/src/pepperstep/programs/entry_host.py
+++ b/src/pepperstep/programs/entry_host.py
@@ -34,6 +34,7 @@
 from pepperstep.relay.quota_claims import QuotaClaims
 from pepperstep.relay.quotas import QuotaTolerance
 from pepperstep.relay.recorder import RelayRecorder
+from pepperstep.relay.resumptions import Resumptions
 from pepperstep.relay.selector import Selector
 from pepperstep.relay.shared_load import SharedLoad
 from pepperstep.relay.signals import AnswerSignals
@@ -212,7 +213,9 @@
             recorder,
             self._contact,
             forwarder,
-            self.origins,
+            Resumptions(
+                self.origins, self.tables, self.catalog, self._chooser, recorder
+            ),
             ports.timers,
             ports.rng,
             self._accepts_streams,
--- a/src/pepperstep/relay/recorder.py
+++ b/src/pepperstep/relay/recorder.py
@@ -95,7 +95,7 @@
         )
         logging.info("relay: %s", event)
 
-    def record_resumption(self, request: RelayedRequest, outcome: str) -> None:
+    def record_resumption(self, outcome: str) -> None:
         """Count a stream that its caller resumes.
 
         `outcome` is "bound" if it can go on at the version that began it, else why not.
--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -20,8 +20,8 @@
 from pepperstep.relay.quotas import Quotas
 from pepperstep.relay.recorder import RelayRecorder
 from pepperstep.relay.relayed_request import RelayedRequest
+from pepperstep.relay.resumptions import Resumptions
 from pepperstep.relay.selector import Selector
-from pepperstep.relay.stream_origins import StreamOrigins
 from pepperstep.relay.upstream_contact import UpstreamContact
 
 __all__ = ["Relay"]
@@ -65,7 +65,7 @@
         recorder: RelayRecorder,
         contact: UpstreamContact,
         forwarder: PeerForwarder,
-        origins: StreamOrigins,
+        resumptions: Resumptions,
         timers: Timers,
         rng: random.Random,
         accepts_streams: Callable[[], bool],
@@ -84,7 +84,7 @@
         self._recorder = recorder
         self._contact = contact
         self._forwarder = forwarder
-        self._origins = origins
+        self._resumptions = resumptions
         self._timers = timers
         self._rng = rng
         self._accepts_streams = accepts_streams
@@ -147,71 +147,15 @@
     async def _serve(self, request: RelayedRequest) -> None:
         """Serve a request through another entry host if this one is cut off."""
         if request.is_resumption:
-            await self._run(request, self._bind_to_origin)
+            await self._run(request, self._resumptions.bind)
+            if not self._may_forward(request):
+                self._resumptions.check_upstreams_left(request)
         if self._may_forward(request):
             await self._run(request, partial(self._forward, is_admitted=False))
         if not request.is_answered:
             await self._admit(request)
             await self._run(request, self._run_attempts)
 
-    async def _bind_to_origin(self, request: RelayedRequest) -> None:
-        """Bind a resumed stream to the service and the software that began it.
-
-        Raise `Failure` if the stream can't go on there, or if they are unknown: events
-        of two versions must not be joined.
-        """
-        if request.origin is None:
-            request.origin = await self._find_origin(request)
-        origin = request.origin
-        if origin is None:
-            self._recorder.record_resumption(request, "unknown")
-            text = "It isn't known at which software version the stream began."
-            retry_after = _DEFAULT_RETRY_AFTER_SECONDS
-            raise Failure(Code.NO_UPSTREAM, text, retry_after=retry_after)
-        shares = {share.service for share in request.route.shares}
-        if origin.service not in shares:
-            self._recorder.record_resumption(request, "no service")
-            text = f"The route doesn't lead to {origin.service} any more."
-            raise Failure(Code.NO_UPSTREAM, text)
-        request.service = self._tables.current.services[origin.service]
-        if not self._may_forward(request):
-            self._check_version_left(request, origin)
-        self._recorder.record_resumption(request, "bound")
-
-    async def _find_origin(self, request: RelayedRequest) -> StreamOrigin | None:
-        if request.facts.resumes:
-            return await self._origins.find(request)
-        return self._origins.only_version(request.service.name)
-
-    def _check_version_left(
-        self, request: RelayedRequest, origin: StreamOrigin
-    ) -> None:
-        """Raise `Failure` if no upstream is left that could go on with a stream."""
-        service = request.service
-        if self._chooser.has_version(service, origin.software):
-            return
-        if not self._catalog.all():
-            # This host has just started and hears of all upstreams in a moment.
-            return
-        self._recorder.record_resumption(request, "no upstream")
-        text = f"No upstream of version {origin.software} is left for the stream."
-        raise Failure(Code.NO_UPSTREAM, text, retry_after=self._return_time(origin))
-
-    def _return_time(self, origin: StreamOrigin) -> float | None:
-        """Return when to retry a stream whose version has no upstream here.
-
-        Return None if this host knows that all of them are gone. Otherwise it may hear
-        of one in a moment.
-        """
-        known = [
-            each
-            for each in self._catalog.all()
-            if each.service == origin.service and each.software == origin.software
-        ]
-        if known and all(each.is_gone for each in known):
-            return None
-        return _DEFAULT_RETRY_AFTER_SECONDS
-
     async def _wait_for_routes(self) -> None:
         if not self._tables.is_known:
             with self._timers.move_on_after(_STARTUP_WAIT_SECONDS):
@@ -448,7 +392,7 @@
         if request.exchange.has_begun and not request.route.is_stream:
             # A retry's answer would be appended to the part already sent.
             return False
-        if request.origin is not None and not self._origins.is_certain(request.origin):
+        if not self._resumptions.may_go_on(request):
             return False
         return request.route.is_repeatable
 
