Let versions that ended long ago hinder no resumption

Cause: callers that name no attempt were refused as soon as a second version was known, and gone upstreams are kept for long; so after a release they were refused for good. Found while the change was read again. Change: only versions that have served within the route's time and 10 s count. An origin that has become uncertain isn't sent on, either.

--- a/src/pepperstep/relay/resumptions.py
+++ b/src/pepperstep/relay/resumptions.py
@@ -16,6 +16,8 @@
 # Time to retry a resumption that another host may be able to serve, or this one in a
 # moment: about one round of the hosts' exchange of state.
 _RETRY_AFTER_SECONDS = 0.3
+# Time after the end of a stream's first attempt in which its caller resumes it.
+_RETURN_SECONDS = 10.0
 
 
 class Resumptions:
@@ -75,7 +77,8 @@
     async def _find_origin(self, request: RelayedRequest) -> StreamOrigin | None:
         if request.facts.resumes:
             return await self._origins.find(request)
-        return self._origins.only_version(request.service.name)
+        seconds = request.route.timeout + _RETURN_SECONDS
+        return self._origins.only_version(request.service.name, seconds)
 
     def _retry_after(self, origin: StreamOrigin) -> float | None:
         """Return when to retry a stream whose version has no upstream here.
--- a/src/pepperstep/relay/stream_origins.py
+++ b/src/pepperstep/relay/stream_origins.py
@@ -18,7 +18,12 @@
 import xxhash
 from absl import logging
 
-from pepperstep.coordination import StreamOrigin, UpstreamCatalog, UpstreamKey
+from pepperstep.coordination import (
+    Announcement,
+    StreamOrigin,
+    UpstreamCatalog,
+    UpstreamKey,
+)
 from pepperstep.observability.decisions import StreamOriginSought
 from pepperstep.ports import PeerNetwork, Timers
 from pepperstep.proto import coordination_pb2 as pb
@@ -69,7 +74,11 @@
         self._true_time = true_time
         self._may_have_restarted = may_have_restarted
         self._origins: OrderedDict[bytes, StreamOrigin] = OrderedDict()
+        # Monotonic time of the latest end of an upstream, by service and version.
+        self._ended_at: dict[tuple[str, str], float] = {}
         self._nursery: trio.Nursery | None = None
+        catalog.subscribe(self._observe_change)
+        catalog.subscribe_restarts(self._record_end)
         network.handle(pb.StreamOrigin, self._on_origin)
         network.handle(pb.StreamOriginQuery, self._on_query)
 
@@ -137,18 +146,27 @@
         began_at = self._true_time() - age
         return current.incarnation / 1000 > began_at + _CLOCK_TOLERANCE_SECONDS
 
-    def only_version(self, service: str) -> StreamOrigin | None:
-        """Return the origin of each stream of a service that has had one version.
+    def only_version(self, service: str, seconds: float) -> StreamOrigin | None:
+        """Return the origin of each stream that a service began in the last seconds.
 
-        Return None if several versions are known. Suits callers that don't name the
-        attempt which began a stream.
+        Return None if upstreams of several versions have served it since. Suits callers
+        that don't name the attempt which began a stream.
         """
-        known = [each for each in self._catalog.all() if each.service == service]
-        versions = {each.software for each in known}
-        if len(versions) != 1:
-            return None
         now = self._timers.now()
-        return StreamOrigin(service, known[0].software, known[0].key, now)
+        serving = [
+            each
+            for each in self._catalog.all()
+            if each.service == service and not each.is_gone
+        ]
+        versions = {each.software for each in serving}
+        versions.update(
+            version
+            for (name, version), ended_at in self._ended_at.items()
+            if name == service and ended_at > now - seconds
+        )
+        if not serving or len(versions) != 1:
+            return None
+        return StreamOrigin(service, serving[0].software, serving[0].key, now)
 
     def forget_old(self) -> None:
         """Forget the origins whose callers have stopped waiting."""
@@ -156,6 +174,16 @@
         expired = [key for key, each in self._origins.items() if each.expires_at < now]
         for stream in expired:
             del self._origins[stream]
+        for version, ended_at in list(self._ended_at.items()):
+            if ended_at < now - _MAX_LIFETIME_SECONDS:
+                del self._ended_at[version]
+
+    def _observe_change(self, upstream: Announcement) -> None:
+        if upstream.is_gone:
+            self._record_end(upstream)
+
+    def _record_end(self, upstream: Announcement) -> None:
+        self._ended_at[upstream.service, upstream.software] = self._timers.now()
 
     def _keep(self, stream: bytes, origin: StreamOrigin) -> None:
         """Keep an origin; two different ones of a stream make both uncertain."""
@@ -173,7 +201,7 @@
         async def place_copy() -> None:
             for owner in owners:
                 origin = self._origins.get(stream)
-                if origin is None:
+                if origin is None or origin.software is None:
                     return
                 message = origin.to_message(stream, self._timers.now())
                 reply = await self._owners.ask(owner, message, _REPORT_TIMEOUT_SECONDS)
--- a/tests/relaying/test_stream_versions.py
+++ b/tests/relaying/test_stream_versions.py
@@ -547,3 +547,19 @@
         for number in range(30_000):
             origins._keep(b"%d" % number, origin)
         assert origins.count == 20_000
+
+
+async def test_version_that_ended_long_ago_hinders_no_resumption(autojump_clock):
+    async with open_versions() as (world, engines):
+        for engine in engines.values():
+            engine.break_share = 0.0
+        await remove(world, "v1", is_gone=True)
+        stream = Stream(b"x", ids=[1])
+        head = resumable_request(b"again", stream)
+        headers = tuple(each for each in head.headers if each[0] != b"resumes")
+        head = RequestHead(head.method, head.target, headers)
+        for status in (503, 200):
+            exchange = FakeExchange(head, stream.body, trio.current_time())
+            await world.entries["e0:1"].relay.handle(exchange)
+            assert exchange.status == status
+            await trio.sleep(30.0)
