Disruptions of the version tests as functions

Cause: a class without state held them. Change: plain functions, named after what they do; no assertion differs.

--- a/tests/relaying/test_stream_versions.py
+++ b/tests/relaying/test_stream_versions.py
@@ -217,54 +217,64 @@
     world.cut_off(host, [*world.controls, *world.entries])
 
 
-class Fault:
-    """A disruption of the hosts while callers resume streams."""
+async def leave_alone(world, callers, nursery) -> None:
+    """Leave the hosts alone."""
 
-    async def none(self, world, callers, nursery) -> None:
-        """Leave the hosts alone."""
 
-    async def restarts(self, world, callers, nursery) -> None:
-        """Restart the hosts in turn."""
-        nursery.start_soon(restart_in_turn, world, callers)
+async def restart_hosts(world, callers, nursery) -> None:
+    """Restart the hosts in turn."""
+    nursery.start_soon(restart_in_turn, world, callers)
 
-    async def dead(self, world, callers, nursery) -> None:
-        """Kill two hosts for good, in the middle."""
 
-        async def kill() -> None:
-            for host in ("e1:1", "e2:1"):
-                await trio.sleep(3.0)
-                world.kill(host)
-                callers.disconnect(host)
+async def kill_two_hosts(world, callers, nursery) -> None:
+    """Kill two hosts for good, in the middle."""
 
-        nursery.start_soon(kill)
-
-    async def cut_off(self, world, callers, nursery) -> None:
-        """Cut two hosts off from all others; callers still use them."""
+    async def kill() -> None:
         for host in ("e1:1", "e2:1"):
-            cut_off_from_hosts(world, host)
+            await trio.sleep(3.0)
+            world.kill(host)
+            callers.disconnect(host)
 
-    async def forwarding(self, world, callers, nursery) -> None:
-        """Cut two hosts off from all upstreams."""
-        for host in ("e1:1", "e2:1"):
-            world.connector.cut(host, LinkCut.RESET)
+    nursery.start_soon(kill)
+
+
+async def cut_two_hosts_off(world, callers, nursery) -> None:
+    """Cut two hosts off from all others; callers still use them."""
+    for host in ("e1:1", "e2:1"):
+        cut_off_from_hosts(world, host)
+
+
+async def make_two_hosts_forward(world, callers, nursery) -> None:
+    """Cut two hosts off from all upstreams."""
+    for host in ("e1:1", "e2:1"):
+        world.connector.cut(host, LinkCut.RESET)
+
+
+FAULTS = [
+    leave_alone,
+    restart_hosts,
+    kill_two_hosts,
+    cut_two_hosts_off,
+    make_two_hosts_forward,
+]
 
 
 @pytest.mark.parametrize("seed", [1, 2])
-@pytest.mark.parametrize("fault", ["none", "restarts", "dead", "cut_off", "forwarding"])
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
 async def test_streams_that_are_resumed_do_not_mix_software_versions(
     autojump_clock, fault, seed
 ):
     async with open_versions(seed=seed) as (world, _):
         callers = Callers(world, seed)
         async with trio.open_nursery() as nursery:
-            await getattr(Fault(), fault)(world, callers, nursery)
+            await fault(world, callers, nursery)
             await callers.run(600)
             nursery.cancel_scope.cancel()
         callers.check_events()
         assert len(callers.mixed) == 0
         begun, went_on = callers.shares()
         # A host that is cut off can't know the versions of other hosts' streams.
-        assert went_on >= begun / 2 or fault == "cut_off"
+        assert went_on >= begun / 2 or fault is cut_two_hosts_off
 
 
 @pytest.mark.parametrize(
