Take answers that can't have a body for complete

Found while the change was read again. Change: such statuses count as framed by a length of 0 (RFC 9112, 6.3). Result: the new test failed before and passes.

--- a/src/pepperstep/ports/exchange.py
+++ b/src/pepperstep/ports/exchange.py
@@ -20,6 +20,8 @@
     "UpstreamConnector",
 ]
 
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
+
 # Name and value, the name in lower case.
 Header = tuple[bytes, bytes]
 
@@ -55,7 +57,9 @@
 
     @property
     def framing(self) -> Framing:
-        """How the body is framed, for an answer that has one."""
+        """How the body is framed; one that can't be there has the length 0."""
+        if self.status in _STATUSES_WITHOUT_BODY:
+            return Framing.LENGTH
         if self.first(b"transfer-encoding"):
             return Framing.CHUNKED
         if self.first(b"content-length"):
--- a/tests/relaying/test_broken_answers.py
+++ b/tests/relaying/test_broken_answers.py
@@ -209,3 +209,10 @@
             assert caught.value.was_sent
         connection.close()
     assert sent.exchange.is_complete == is_whole
+
+
+async def test_answer_that_never_has_a_body_is_complete(autojump_clock):
+    async with open_world() as world:
+        await serve(world, "model", lambda sent: Reply(head(204)))
+        exchange = await world.ask("e0:1", request("/stream/1"))
+        assert (exchange.status, exchange.is_complete) == (204, True)
