--- a/review/harness.py
+++ b/review/harness.py
@@ -173,7 +173,8 @@
 async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
     body = b""
     while True:
-        size = int((await reader.readline()).split(b";")[0], 16)
+        line = await reader.readuntil(b"\r\n")
+        size = int(line.split(b";")[0], 16)
         data = await reader.readexactly(size + 2)
         if not size:
             return body
@@ -577,7 +578,7 @@
         with tempfile.TemporaryDirectory() as temporary:
             deployment = Deployment(Path(temporary), record, entries)
             try:
-                async with asyncio.timeout(110.0):
+                async with asyncio.timeout(float(os.environ.get("CASE_SECONDS", "110"))):
                     return await play(deployment, record)
             finally:
                 deployment.end()
