--- a/review/harness.py
+++ b/review/harness.py
@@ -569,6 +569,7 @@
     folder: Path,
     play: Callable[[Deployment, Record], Awaitable[bool]],
     entries: int = 2,
+    seconds: float = 110.0,
 ) -> None:
     """Play a case and exit with its result; `play` returns whether the rule held."""
     record = Record(folder / "record.txt")
@@ -578,7 +579,7 @@
         with tempfile.TemporaryDirectory() as temporary:
             deployment = Deployment(Path(temporary), record, entries)
             try:
-                async with asyncio.timeout(float(os.environ.get("CASE_SECONDS", "110"))):
+                async with asyncio.timeout(seconds):
                     return await play(deployment, record)
             finally:
                 deployment.end()
