--- a/review/harness.py
+++ b/review/harness.py
@@ -227,12 +227,12 @@
     zone: str
     handle: Handler
     slots: int = 6
-    # The last of all numbers that this process has given to a connection.
-    connections: int = 0
     sequence: int = 0
     born: int = field(default_factory=lambda: int(time.time() * 1000))
     _server: asyncio.Server | None = None
     _beats: asyncio.Task | None = None
+    # Of the open connections.
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self, controls: list[str]) -> None:
         """Listen, and announce itself until stopped."""
@@ -272,7 +272,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self.connections += 1
+        self.writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             while True:
                 request = await read_message(reader)
@@ -280,6 +280,7 @@
                     break
                 if not await self.handle(self, request, reader, writer):
                     break
+        self.writers.discard(writer)
         writer.close()
 
 
