--- a/review/1/case.py
+++ b/review/1/case.py
@@ -92,12 +92,14 @@
     route = harness.route("chart-fetch", "/lohu930/", "unsafe", SERVICE)
     await deployment.start(harness.configuration(7, [route], [SERVICE]))
     site = Site(record)
+    replicas = []
     for number, name in enumerate((FAULTY, "i-sound")):
         address = deployment.replica_address(number)
         zone = harness.ZONES[2]
         replica = Replica(name, SERVICE, address, zone, site.handle)
         await replica.start(deployment.controls)
-    await asyncio.sleep(3.0)
+        replicas.append(replica)
+    await deployment.wait_announced(*replicas)
     refused_and_run: list[str] = []
 
     async def send_all(client: int) -> None:
--- a/review/harness.py
+++ b/review/harness.py
@@ -38,6 +38,8 @@
 _START_SECONDS = 40.0
 _POLL_SECONDS = 0.05
 _BEAT_SECONDS = 1.2
+# Until entry hosts have heard of what control hosts know.
+_SETTLING_SECONDS = 2.0
 _RESTART_SECONDS = 0.5
 _METRICS_PORT = 9464
 # Offsets from the first port of the deployment.
@@ -231,6 +233,8 @@
     born: int = field(default_factory=lambda: int(time.time() * 1000))
     _server: asyncio.Server | None = None
     _beats: asyncio.Task | None = None
+    # Whether a control host has acknowledged a heartbeat.
+    is_announced: bool = False
     # Of the open connections.
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -266,6 +270,7 @@
                 headers = [("Host", control), ("Content-Type", "application/json")]
                 answer = await call(control, path, headers, self.beat(), 1.0)
                 if answer is not None and 200 <= answer.status < 300:
+                    self.is_announced = True
                     break
             await asyncio.sleep(_BEAT_SECONDS)
 
@@ -379,6 +384,15 @@
         await self.wait("the configuration is acknowledged", is_acknowledged)
         self._record.write(f"operator: version {document['version']} acknowledged")
 
+    async def wait_announced(self, *replicas: "Replica") -> None:
+        """Return once the entry hosts should know the replicas."""
+
+        async def are_announced() -> bool:
+            return all(each.is_announced for each in replicas)
+
+        await self.wait("the replicas are announced", are_announced)
+        await asyncio.sleep(_SETTLING_SECONDS)
+
     async def wait(self, what: str, condition: Callable[[], Awaitable[bool]]) -> None:
         """Return once a condition holds; raise `NotRun` if it doesn't in time."""
         try:
