--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,7 +23,8 @@
 NUMBERS = range(1, EVENTS + 1)
 BEFORE_SECONDS = 6.0
 AFTER_SECONDS = 15.0
-PAUSE_SECONDS = 0.1
+# Of a client whose connection was refused or cut.
+PAUSE_SECONDS = 1.0
 # The rule allows a machine this many requests that it passes on and doesn't answer.
 ALLOWED = 3
 
@@ -77,12 +78,13 @@
                 line = f"POST /lohu930/{number} HTTP/1.1"
                 writer.write(harness.encode(line, headers, b"x" * 600))
                 answer = await harness.read_message(reader)
-                if answer is None or not answer.is_complete:
+                if answer is None:
                     self._record_cut(entry, attempt, answered)
                     break
                 self.answers[str(answer.status)] += 1
                 answered += 1
             writer.close()
+            await asyncio.sleep(PAUSE_SECONDS)
 
     def _record_cut(self, entry: int, attempt: str, answered: int) -> None:
         self.answers["cut"] += 1
--- a/review/harness.py
+++ b/review/harness.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import contextlib
 import json
 import os
 import random
@@ -235,6 +234,8 @@
     _beats: asyncio.Task | None = None
     # Whether a control host has acknowledged a heartbeat.
     is_announced: bool = False
+    # What went wrong in `handle`, which is a fault of the script.
+    errors: list[Exception] = field(default_factory=list)
     # Of the open connections.
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -278,13 +279,17 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.writers.add(writer)
-        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+        try:
             while True:
                 request = await read_message(reader)
                 if request is None or not request.is_complete:
                     break
                 if not await self.handle(self, request, reader, writer):
                     break
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        except Exception as error:
+            self.errors.append(error)
         self.writers.discard(writer)
         writer.close()
 
@@ -338,6 +343,7 @@
         self._network, self._port = _free_network()
         self.processes: dict[str, Process] = {}
         self._supervisor: asyncio.Task | None = None
+        self._replicas: tuple[Replica, ...] = ()
 
     @property
     def controls(self) -> list[str]:
@@ -387,6 +393,8 @@
     async def wait_announced(self, *replicas: "Replica") -> None:
         """Return once the entry hosts should know the replicas."""
 
+        self._replicas = replicas
+
         async def are_announced() -> bool:
             return all(each.is_announced for each in replicas)
 
@@ -402,6 +410,12 @@
         except TimeoutError:
             raise NotRun(f"waited in vain: {what}") from None
 
+    def check_replicas(self) -> None:
+        """Raise `NotRun` if a stand-in has failed by itself."""
+        for replica in self._replicas:
+            if replica.errors:
+                raise NotRun(f"{replica.name} failed: {replica.errors[0]!r}")
+
     def end(self) -> None:
         """Kill all daemons."""
         if self._supervisor is not None:
@@ -593,15 +607,22 @@
     async def main() -> bool:
         with tempfile.TemporaryDirectory() as temporary:
             deployment = Deployment(Path(temporary), record, entries)
+            # The processes have to end, too, if the script is told to.
+            for number in (signal.SIGTERM, signal.SIGINT):
+                loop = asyncio.get_running_loop()
+                loop.add_signal_handler(number, asyncio.current_task().cancel)
             try:
                 async with asyncio.timeout(seconds):
-                    return await play(deployment, record)
+                    is_kept = await play(deployment, record)
+                    deployment.check_replicas()
+                    return is_kept
             finally:
                 deployment.end()
 
     try:
         holds = asyncio.run(main())
-    except (NotRun, OSError, TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # Whatever fails in the script itself says nothing about the rule.
         record.write(f"result: not run: {error!r}")
         sys.exit(EXIT_NOT_RUN)
     record.write(f"result: the rule {'held' if holds else 'was broken'}")
