Match an upstream's answer to its request by the id alone

An upstream may repeat an earlier answer where the next one is due. AttemptRunner._find_answer skipped such an answer by its id, unless it stated that the request hasn't run (`or facts.was_refused`): then a refusal of an earlier request was taken for one of the current request, which was sent to a second upstream while the first ran it. A third late answer in a row failed the request, as two were skipped at most.

Now the id decides, whatever the status and the other headers are, for as many answers as come before the request's deadline. The one exception is a refusal with status 400 that has no id, which an upstream sends if it finds none in the request. A refusal without an id and with another status is no longer taken for certain.

--- a/src/pepperstep/fakes/relaying.py
+++ b/src/pepperstep/fakes/relaying.py
@@ -32,8 +32,8 @@
     # Seconds before the head, and before each piece.
     delay: float = 0.0
     pause: float = 0.0
-    # Head of another request's answer, sent before this one.
-    stray: AnswerHead | None = None
+    # Heads of other requests' answers, sent before this one.
+    strays: tuple[AnswerHead, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,6 +140,7 @@
         self.host = host
         self._address = address
         self._reply = Reply()
+        self._strays: list[AnswerHead] = []
         self._is_idle = True
         self._closed = trio.Event()
         self.idle_since = trio.current_time()
@@ -157,9 +158,8 @@
         self._reply = script(sent)
         await self._wait(self._reply.delay)
         await self._check_link()
-        if self._reply.stray is not None:
-            return self._reply.stray
-        return self._answer_head()
+        self._strays = list(self._reply.strays)
+        return self._next_head()
 
     async def pieces(self) -> AsyncIterator[bytes]:
         """Yield the pieces of the answer's body."""
@@ -173,8 +173,8 @@
         self.idle_since = trio.current_time()
 
     async def skip_answer(self) -> AnswerHead:
-        """Skip the stray answer and return the head of the one to this request."""
-        return self._answer_head()
+        """Skip a stray answer and return the head of the next one."""
+        return self._next_head()
 
     def is_reusable(self) -> bool:
         """Whether the connection can carry another request."""
@@ -203,7 +203,9 @@
             await self._closed.wait()
             raise ConnectionFault("closed meanwhile", True)
 
-    def _answer_head(self) -> AnswerHead:
+    def _next_head(self) -> AnswerHead:
+        if self._strays:
+            return self._strays.pop(0)
         if self._reply.head is None:
             raise ConnectionFault("closed without an answer", True)
         return self._reply.head
--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -28,9 +28,10 @@
 
 __all__ = ["AttemptRunner", "Outcome", "OutcomeCallback"]
 
-# Late answers to earlier requests that are skipped before the expected one.
-_MAX_STALE_ANSWERS = 2
 _MIN_SERVER_ERROR_STATUS = 500
+# Status of the only refusals that echo no id: the upstream has found none in the
+# request.
+_UNIDENTIFIED_STATUS = 400
 _MISDIRECTED_STATUS = 421
 # Source of the news that an upstream is gone: another one answers at its address.
 _SOURCE_ANSWER = "answer"
@@ -203,20 +204,25 @@
     async def _find_answer(
         self, request: RelayedRequest, connection: UpstreamConnection, head: AnswerHead
     ) -> tuple[AnswerHead, AnswerFacts]:
-        """Return the answer to this request, skipping late answers to earlier ones."""
-        for _ in range(_MAX_STALE_ANSWERS):
-            facts = self._wire.read_answer(head)
-            if facts.attempt_id == request.facts.attempt_id or facts.was_refused:
-                return head, facts
+        """Return the answer to this request, skipping late answers to earlier ones.
+
+        Nothing that a skipped answer states is used, as its upstream's state may have
+        changed since. The request's deadline ends the search.
+        """
+        facts = self._wire.read_answer(head)
+        while facts.attempt_id != request.facts.attempt_id:
             if not facts.attempt_id:
+                if facts.was_refused and head.status == _UNIDENTIFIED_STATUS:
+                    break
                 raise ConnectionFault("the answer names no request", True)
             logging.info(
-                "relay: %s: skipped the answer to another request", request.name
+                "relay: %s: skipped the answer with status %d to %s",
+                request.name,
+                head.status,
+                facts.attempt_id.decode("latin-1"),
             )
             head = await connection.skip_answer()
-        facts = self._wire.read_answer(head)
-        if facts.attempt_id != request.facts.attempt_id:
-            raise ConnectionFault("the answer belongs to another request", True)
+            facts = self._wire.read_answer(head)
         return head, facts
 
     async def _handle_answer(
--- a/tests/relaying/test_relay.py
+++ b/tests/relaying/test_relay.py
@@ -189,7 +189,7 @@
 async def test_late_answer_of_another_request_is_skipped(autojump_clock):
     async with open_world() as world:
         stray = head(200, attempt=b"id-0")
-        await serve(world, "plain", answers(b"chart", stray=stray))
+        await serve(world, "plain", answers(b"chart", strays=(stray,)))
         exchange = await world.ask("e0:1", request("/unsafe/1"))
         assert (exchange.status, exchange.received) == (200, b"chart")
 
