Don't reuse a connection that has brought an answer without an id

A late copy of an answer is told from the next one by its id. A copy of an answer without one (a refusal with status 400) would be taken for the refusal of the next request on the connection, which could then run twice. Such a connection is closed now, so no copy can follow. Tested for a request with and without an id: 2 of 2 failed before (no connection was closed), pass now.

--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -180,7 +180,8 @@
             outcome = await self._handle_answer(
                 request, upstream, connection, head, facts
             )
-            if facts.closes:
+            # A late copy of an answer without an id couldn't be told from the next one.
+            if facts.closes or not facts.attempt_id:
                 connection.close()
             request.is_in_flight = False
             return outcome
--- a/tests/relaying/test_late_answers.py
+++ b/tests/relaying/test_late_answers.py
@@ -202,3 +202,16 @@
             site.plan[attempt] = [((late,) * 3, SERVED)]
             exchange = await world.ask("e0:1", request_of(attempt))
             assert (exchange.status, site.runs[attempt]) == (200, 1)
+
+
+@pytest.mark.parametrize("attempt", [b"id-1", b""])
+async def test_answer_without_an_id_ends_its_connection(autojump_clock, attempt):
+    """Guards against a late copy that couldn't be told from the next answer."""
+    site = Site()
+    async with open_world(entries=1) as world:
+        await site.serve(world)
+        refusal = Kind(400, (NOT_EXECUTED,), has_id=False)
+        site.plan[attempt] = [((), refusal), ((), refusal)]
+        exchange = await world.ask("e0:1", request_of(attempt))
+        assert exchange.status == 503
+        assert world.connector.opened == world.connector.closed == 2
