Read on after a late answer that states the end of its connection

A late answer with "Connection: close" failed the request in front of whose answer it came, as h11 takes no further answer then. What it states is as old as the answer itself; only the end of the connection shows that no answer follows.

--- a/src/pepperstep/adapters/http1/client.py
+++ b/src/pepperstep/adapters/http1/client.py
@@ -110,7 +110,12 @@
         """
         async for _ in self.pieces():
             pass
-        if self._protocol.their_state is not h11.DONE or self._unsent:
+        # The end of the connection alone shows that no answer follows: a late answer's
+        # "Connection: close" is as old as the answer itself.
+        if (
+            self._protocol.their_state not in (h11.DONE, h11.MUST_CLOSE)
+            or self._unsent
+        ):
             raise self._mark_broken("no answer can follow")
         data, _ = self._protocol.trailing_data
         self._protocol = _new_protocol()
--- a/tests/relaying/test_http1.py
+++ b/tests/relaying/test_http1.py
@@ -233,13 +233,35 @@
         assert not connection.is_reusable()
 
 
-async def test_answer_after_a_skipped_one_is_read():
-    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
-    async with open_upstream(answer + b"no" + answer + b"hi") as address:
+STALE = b"HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\nno"
+CLOSING = STALE.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"
+EMPTY = b"HTTP/1.1 204 No\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 40])
+@pytest.mark.parametrize("stale", [STALE, CLOSING, CHUNKED, EMPTY, CONTINUE + STALE])
+async def test_answer_after_skipped_ones_is_read(stale, count):
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+    async with open_upstream(stale * count + answer, answer) as address:
+        connection = await Http1Connector(trio.current_time).connect(address, 1.0)
+        await connection.send(HEAD, b"body")
+        for _ in range(count):
+            head = await connection.skip_answer()
+        body = b"".join([piece async for piece in connection.pieces()])
+        assert (head.status, body) == (200, b"hi")
+        assert connection.is_reusable()
+        assert (await connection.send(HEAD, b"")).status == 200
+
+
+async def test_connection_that_ends_after_a_skipped_answer_raises_a_fault():
+    async with open_upstream(CLOSING, closes=True) as address:
         connection = await Http1Connector(trio.current_time).connect(address, 1.0)
         await connection.send(HEAD, b"body")
-        await connection.skip_answer()
-        assert b"".join([piece async for piece in connection.pieces()]) == b"hi"
+        with pytest.raises(ConnectionFault) as caught:
+            await connection.skip_answer()
+        assert caught.value.was_sent
 
 
 @pytest.mark.parametrize(
