Expect no body in the answer to HEAD after a skipped one

After a late answer had been skipped, the answer to a HEAD request was read like that to GET: the connection waited until the deadline for a body that never comes. The test over a socket timed out before.

--- a/src/pepperstep/adapters/http1/client.py
+++ b/src/pepperstep/adapters/http1/client.py
@@ -64,6 +64,7 @@
         self._sock = sock
         self._now = now
         self._protocol = _new_protocol()
+        self._method = b""
         self._unsent = memoryview(b"")
         self._is_broken = False
         self.idle_since = now()
@@ -77,6 +78,7 @@
         if body or head.first(b"content-length"):
             headers.append((b"content-length", b"%d" % len(body)))
         request = h11.Request(method=head.method, target=head.target, headers=headers)
+        self._method = head.method
         if self._protocol.our_state is h11.DONE:
             self._protocol.start_next_cycle()
         data = self._protocol.send(request)
@@ -106,7 +108,8 @@
         """Discard the rest of this answer and return the head of the next one.
 
         No request is sent for the next answer. A placeholder request brings a new
-        h11 state machine into the state in which it expects an answer.
+        h11 state machine into the state in which it expects an answer. Its method is
+        that of the real one, as answers to HEAD have no body.
         """
         async for _ in self.pieces():
             pass
@@ -119,7 +122,9 @@
             raise self._mark_broken("no answer can follow")
         data, _ = self._protocol.trailing_data
         self._protocol = _new_protocol()
-        request = h11.Request(method=b"GET", target=b"/", headers=[(b"host", b"-")])
+        request = h11.Request(
+            method=self._method, target=b"/", headers=[(b"host", b"-")]
+        )
         self._protocol.send(request)
         self._protocol.send(h11.EndOfMessage())
         if data:
--- a/tests/relaying/test_http1.py
+++ b/tests/relaying/test_http1.py
@@ -255,6 +255,18 @@
         assert (await connection.send(HEAD, b"")).status == 200
 
 
+async def test_answer_to_a_head_request_is_read_after_a_skipped_one():
+    """Guards against a wait for a body that never comes."""
+    stale = b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+    async with open_upstream(stale + answer) as address:
+        connection = await Http1Connector(trio.current_time).connect(address, 1.0)
+        await connection.send(RequestHead(b"HEAD", b"/a", HEAD.headers), b"")
+        assert (await connection.skip_answer()).status == 200
+        with trio.fail_after(1.0):
+            assert [piece async for piece in connection.pieces()] == []
+
+
 async def test_connection_that_ends_after_a_skipped_answer_raises_a_fault():
     async with open_upstream(CLOSING, closes=True) as address:
         connection = await Http1Connector(trio.current_time).connect(address, 1.0)
