Send a request's body on while late answers are skipped

A late answer that arrives while a request's body is still being sent failed the request: sending was cancelled with the first answer, and nothing could follow. An unsafe request got 502 though its upstream would have run it. Sending goes on now beside the reading of each further answer. The test sends 20 MB over a socket, with a late answer at the begin and one at the end; it failed before ("no answer can follow").

--- a/src/pepperstep/adapters/http1/client.py
+++ b/src/pepperstep/adapters/http1/client.py
@@ -87,10 +87,7 @@
         data += self._protocol.send(h11.EndOfMessage())
         self._unsent = memoryview(data)
         await self._send_available()
-        if not self._unsent:
-            return await self._read_head()
-        # The upstream may answer before it has read the whole request.
-        return await run_beside(self._send_remaining, self._read_head)
+        return await self._read_head_while_sending()
 
     async def pieces(self) -> AsyncIterator[bytes]:
         """Yield the answer's body; raise `ConnectionFault` if it is incomplete."""
@@ -115,10 +112,7 @@
             pass
         # The end of the connection alone shows that no answer follows: a late answer's
         # "Connection: close" is as old as the answer itself.
-        if (
-            self._protocol.their_state not in (h11.DONE, h11.MUST_CLOSE)
-            or self._unsent
-        ):
+        if self._protocol.their_state not in (h11.DONE, h11.MUST_CLOSE):
             raise self._mark_broken("no answer can follow")
         data, _ = self._protocol.trailing_data
         self._protocol = _new_protocol()
@@ -129,7 +123,7 @@
         self._protocol.send(h11.EndOfMessage())
         if data:
             self._protocol.receive_data(data)
-        return await self._read_head()
+        return await self._read_head_while_sending()
 
     def is_reusable(self) -> bool:
         """Whether another request may be sent on this connection."""
@@ -165,6 +159,15 @@
         poll.register(self._sock.fileno(), select.POLLIN)
         return not poll.poll(0)
 
+    async def _read_head_while_sending(self) -> AnswerHead:
+        """Return an answer's head; the rest of the request is sent meanwhile.
+
+        The upstream may answer before it has read the whole request.
+        """
+        if not self._unsent:
+            return await self._read_head()
+        return await run_beside(self._send_remaining, self._read_head)
+
     async def _send_available(self) -> None:
         try:
             sent = await self._sock.send(self._unsent)
--- a/tests/relaying/test_http1.py
+++ b/tests/relaying/test_http1.py
@@ -276,6 +276,32 @@
         assert caught.value.was_sent
 
 
+async def test_body_is_sent_completely_while_answers_are_skipped():
+    """Guards against a request that fails since a late answer overtakes its body."""
+    size = 20_000_000
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+    async def serve(stream: trio.SocketStream) -> None:
+        received = len(await stream.receive_some(100))
+        await stream.send_all(STALE)
+        while received < size:
+            received += len(await stream.receive_some(1_000_000))
+        await stream.send_all(STALE + answer)
+        await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listener.socket.getsockname()[1]
+        nursery.start_soon(trio.serve_listeners, serve, [listener])
+        connector = Http1Connector(trio.current_time)
+        connection = await connector.connect(f"127.0.0.1:{port}", 1.0)
+        assert (await connection.send(HEAD, b"x" * size)).status == 503
+        assert (await connection.skip_answer()).status == 503
+        assert (await connection.skip_answer()).status == 200
+        assert b"".join([piece async for piece in connection.pieces()]) == b"hi"
+        nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize(
     "answer",
     [
