Fail a request unsent if its new connection has data or has ended

Bytes that arrive before a connection's first request answer no request; so far they were taken for its answer, or failed a request that might then have run. A connection that was accepted and reset at once counted as such a failure, too. Both are known before anything is sent, so an unsafe request may go to another upstream. Connections that are reused were checked already (is_reusable), in the same step as they're sent on.

--- a/src/pepperstep/adapters/http1/client.py
+++ b/src/pepperstep/adapters/http1/client.py
@@ -71,6 +71,9 @@
 
     async def send(self, head: RequestHead, body: bytes) -> AnswerHead:
         """Send a request and return the head of its answer."""
+        if self._protocol.our_state is h11.IDLE and not self._has_no_input():
+            self._is_broken = True
+            raise ConnectionFault("data or the end came before a request", False)
         headers = [
             each for each in end_to_end_headers(head.headers) if each[0] != b"expect"
         ]
--- a/tests/relaying/test_http1.py
+++ b/tests/relaying/test_http1.py
@@ -276,6 +276,36 @@
         assert caught.value.was_sent
 
 
+@pytest.mark.parametrize("data", [STALE, b"noise", b""])
+async def test_request_is_not_sent_after_data_that_came_first(data):
+    """Guards against an answer that was sent before the request it is taken for."""
+    received = []
+
+    async def serve(stream: trio.SocketStream) -> None:
+        if data:
+            await stream.send_all(data)
+        else:
+            await stream.send_eof()
+        with contextlib.suppress(trio.BrokenResourceError):
+            received.append(await stream.receive_some())
+
+    async with trio.open_nursery() as nursery:
+        [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listener.socket.getsockname()[1]
+        nursery.start_soon(trio.serve_listeners, serve, [listener])
+        connector = Http1Connector(trio.current_time)
+        connection = await connector.connect(f"127.0.0.1:{port}", 1.0)
+        await trio.sleep(0.05)
+        with pytest.raises(ConnectionFault) as caught:
+            await connection.send(HEAD, b"body")
+        assert not caught.value.was_sent
+        assert not connection.is_reusable()
+        connection.close()
+        await trio.testing.wait_all_tasks_blocked(0.01)
+        assert b"".join(received) == b""
+        nursery.cancel_scope.cancel()
+
+
 async def test_body_is_sent_completely_while_answers_are_skipped():
     """Guards against a request that fails since a late answer overtakes its body."""
     size = 20_000_000
