Check the id of a service's refusal before believing it

The id is checked first now. Tests for three ids and five statuses: 3 of 15 failed before (404, 429 and 503 with another call's id).

--- a/src/pepperstep/adapters/http_upstreams.py
+++ b/src/pepperstep/adapters/http_upstreams.py
@@ -146,11 +146,11 @@
             headers=headers,
         )
         async with self._open_response(upstream, call) as response:
-            if _header(response, b"x-not-run"):
-                raise await _read_error(response)
             echoed = _header(response, b"x-attempt-id")
             if echoed and echoed != attempt_id:
                 raise UpstreamLost(f"Answer of {echoed} came to {attempt_id}.")
+            if _header(response, b"x-not-run"):
+                raise await _read_error(response)
             body = await _read_whole(response)
             content_type = _header(response, b"content-type")
             return ServiceAnswer(response.status, content_type, body)
--- a/tests/fuzz/test_answers.py
+++ b/tests/fuzz/test_answers.py
@@ -282,6 +282,22 @@
     assert isinstance(run(generate, client), UpstreamLost)
 
 
+@pytest.mark.parametrize("status", [400, 404, 421, 429, 503])
+@pytest.mark.parametrize(
+    ("echoed", "error_type"),
+    [(b"a.0", UpstreamLost), (b"a.1", UpstreamRefused), (b"", UpstreamRefused)],
+)
+def test_refusal_counts_only_for_its_own_call(status, echoed, error_type):
+    """Guards against a second run of a call since an earlier one was refused."""
+    lines = [b"HTTP/1.1 %d X" % status, b"X-Not-Run: 1", b"Content-Length: 0"]
+    lines += [b"X-Attempt-Id: " + echoed] if echoed else []
+    client = HttpUpstreams("key")
+    client._backend = Answering([b"\r\n".join(lines) + b"\r\n\r\n"], False)
+    error = run(UPSTREAM_CALLS["service"][0], client)
+    expected = UpstreamLost if status in (400, 421) else error_type
+    assert type(error) is expected
+
+
 @pytest.mark.parametrize("client_type", [HttpCloud, HttpWeights])
 def test_numbers_too_large_for_a_message_are_an_error(client_type):
     client = client_type("http://10.0.0.1:80")
