Don't divide by a quota's burst of 0

Quotas._share_rate divides the bucket's level by its burst; SyncClient reaches it with each poll of a control host, in a task whose failure ends the process. A quota in tokens has a part of the allowance as its burst, so only one in requests was hit.

How much such a quota admits is a matter of its own.

--- a/src/pepperstep/relay/quotas.py
+++ b/src/pepperstep/relay/quotas.py
@@ -391,7 +391,8 @@
         equal = bucket.quota.rate / max(1, self._host_count())
         if not self._is_in_contact():
             return _ISOLATED_SHARE_FRACTION * equal
-        left = bucket.level / bucket.quota.burst
+        burst = bucket.quota.burst
+        left = bucket.level / burst if burst else 0.0
         return equal * max(1.0, _MAX_SHARE_GROWTH * left)
 
     def _share_burst(self, quota: Quota) -> float:
