Limit quotas by the window, and serve clumps within the rate

Callers within a quota that has little or no burst were refused with 429: of 200 requests at 80 a second in pairs, at a rate of 200 with a burst of 1, 126 were served (the users' figure). The bucket held one request, though the bounds count a quota over a window and tolerate an excess there. Two thirds of the tolerance were kept for counts that arrive late, because nothing else limited what hosts admit meanwhile.

Each host now keeps the known total of the latest window and admits nothing beyond the tolerated amount, less a part for late counts. That bounds the excess itself, so a bucket may hold one second of the rate (or some requests) at least, and is granted whole then. What is kept from grants for hosts without an owner is at most one second of the rate: a new bucket with a large burst granted nothing for as long as it took to fill two fifths of it.

Tests: properties over rates of 5 to 1,000 requests or 5,000 to 1,000,000 tokens a second, bursts from none to 3 s, tolerances, 2, 7 and 300 hosts, clumps of 1 to 4 at 0.4 to 8 times the rate: within the rate 0.95 is served, above it no window exceeds the tolerance.

test_refused_claim_has_a_usable_retry_time: the level at which the owner refuses is 100 now and was 400, since 0.4 of the burst there are 4 s of the rate. The window tests have the deployment's window in their tolerance, as the hosts have. Quotas with a burst of a second and the sites' allowance have the bucket that they had.

--- a/src/pepperstep/programs/entry_host.py
+++ b/src/pepperstep/programs/entry_host.py
@@ -32,7 +32,7 @@
 from pepperstep.relay.permits import Permits
 from pepperstep.relay.prompts import PrefillTracker
 from pepperstep.relay.quota_claims import QuotaClaims
-from pepperstep.relay.quotas import QuotaTolerance
+from pepperstep.relay.quota_limits import QuotaTolerance
 from pepperstep.relay.recorder import RelayRecorder
 from pepperstep.relay.resumptions import Resumptions
 from pepperstep.relay.selector import Selector
@@ -88,7 +88,9 @@
         self._contact = UpstreamContact(
             self.catalog, self._pools, ports.timers, ports.rng
         )
-        tolerance = QuotaTolerance(bounds.quota_overage, bounds.quota_allowance)
+        tolerance = QuotaTolerance(
+            bounds.quota_overage, bounds.quota_allowance, bounds.quota_window
+        )
         self._quotas = Quotas(
             self._host_count, now, tolerance, self._is_in_contact, ports.rng.random()
         )
--- a/src/pepperstep/relay/quotas.py
+++ b/src/pepperstep/relay/quotas.py
@@ -16,13 +16,14 @@
 import math
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import trio
 
 from pepperstep.entities.routes import Quota, RouteTable, Workspace
+from pepperstep.relay.quota_limits import BucketSize, QuotaTolerance, SlidingTotal
 
-__all__ = ["Admission", "Claim", "QuotaState", "QuotaTolerance", "Quotas"]
+__all__ = ["Admission", "Claim", "QuotaState", "Quotas"]
 
 # Asks a workspace's owner to charge a cost to its quota; None without an answer.
 Claim = Callable[[str, float], Awaitable["Admission | None"]]
@@ -57,16 +58,9 @@
 _STARTUP_SECONDS = 0.5
 # Below this fraction of its burst, a workspace's counts must be exchanged quickly.
 _ACTIVE_BELOW_FRACTION = 0.9
-# Fraction of the tolerated excess that is added to the quota. Hosts that keep to equal
-# shares refuse callers while another host has tokens left; the addition compensates for
-# this, and the rest of the tolerance covers counts that arrive late.
-_USED_TOLERANCE_FRACTION = 0.4
 # Time for which a refund can be spent again. It counts towards the window in which it
 # was first spent.
 _CREDIT_LIFETIME_SECONDS = 1.0
-# Fraction of the burst that isn't granted, for hosts that can't reach the owner and
-# spend from their shares.
-_UNGRANTED_FRACTION = 0.4
 # Time within which hosts report grants as spent: one exchange each of the spending
 # host, a control host and this host, one of them lost.
 _GRANT_REPORT_SECONDS = 3.0
@@ -74,16 +68,6 @@
 _MAX_WAIT_SECONDS = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class QuotaTolerance:
-    """Tolerated excess over a quota, from the deployment's settings."""
-
-    # Fraction of the quota's amount in a window.
-    overage: float = 0.0
-    # Additional amount in the quota's unit.
-    allowance: float = 0.0
-
-
 @dataclass(frozen=True, slots=True)
 class Admission:
     """Decision on charging a request's cost to a quota."""
@@ -113,6 +97,11 @@
     """Token bucket of a workspace: the shared level, and this host's share."""
 
     quota: Quota
+    size: BucketSize
+    # Spending of all hosts in the latest window, as far as this host knows it, and its
+    # limit.
+    spent: SlidingTotal
+    window_limit: float
     level: float
     share_level: float
     filled_at: float
@@ -166,16 +155,15 @@
             self._started_at = self._now()
         for workspace in table.workspaces:
             if workspace.quota is not None and workspace.quota.rate > 0:
-                self._bucket_of(workspace.name, self._add_tolerance(workspace.quota))
+                self._bucket_of(workspace.name, workspace.quota)
 
     def refill_after_restart(self) -> None:
         """Refill the buckets after a restart of all hosts, during which none spent."""
         for bucket in self._buckets.values():
-            quota = bucket.quota
             self._fill(bucket)
-            refill = _RESTART_SECONDS * quota.rate
-            bucket.level = min(quota.burst, bucket.level + refill)
-            bucket.share_level = self._share_burst(quota)
+            refill = _RESTART_SECONDS * bucket.size.rate
+            bucket.level = min(bucket.size.burst, bucket.level + refill)
+            bucket.share_level = self._share_burst(bucket)
         self._refilled.set()
 
     @property
@@ -202,7 +190,7 @@
         """Whether any workspace has spent more than a tenth of its burst."""
         for bucket in self._buckets.values():
             self._fill(bucket)
-            if bucket.level < _ACTIVE_BELOW_FRACTION * bucket.quota.burst:
+            if bucket.level < _ACTIVE_BELOW_FRACTION * bucket.size.burst:
                 return True
         return False
 
@@ -220,7 +208,7 @@
         """
         if workspace.quota is None or workspace.quota.rate <= 0:
             return Admission()
-        bucket = self._bucket_of(workspace.name, self._add_tolerance(workspace.quota))
+        bucket = self._bucket_of(workspace.name, workspace.quota)
         if not is_repeated:
             self._record_demand(bucket, cost)
         if self._credit_of(bucket) >= cost:
@@ -247,14 +235,14 @@
         if bucket is None or not self._is_in_contact():
             return None
         self._fill(bucket)
-        burst = bucket.quota.burst
-        ungranted = _UNGRANTED_FRACTION * burst
-        deficit = min(cost + ungranted, burst) - bucket.level
-        if deficit > 0:
-            wait = min(deficit / bucket.quota.rate, _MAX_WAIT_SECONDS)
-            return Admission(wait, left=bucket.level)
+        size = bucket.size
+        deficit = min(cost + size.ungranted, size.burst) - bucket.level
+        wait = max(deficit / size.rate, self._window_wait(bucket, cost))
+        if wait > 0:
+            return Admission(min(wait, _MAX_WAIT_SECONDS), left=bucket.level)
         if not is_own:
             bucket.level -= cost
+            bucket.spent.add(cost, self._now())
             bucket.unreported_grants.append((self._now(), cost))
         return Admission(left=bucket.level)
 
@@ -291,57 +279,71 @@
             self._fill(bucket)
             spent = total - bucket.spent_elsewhere
             not_granted = spent - self._settle_grants(bucket, spent)
-            bucket.level = max(-bucket.quota.burst, bucket.level - not_granted)
+            bucket.level = max(-bucket.size.burst, bucket.level - not_granted)
+            bucket.spent.add(not_granted, self._now())
             bucket.peer_spending_rate += spent / _DEMAND_TIME_CONSTANT_SECONDS
         bucket.spent_elsewhere = max(total, bucket.spent_elsewhere or 0)
 
-    def _add_tolerance(self, quota: Quota) -> Quota:
-        """Return the quota enlarged by the used fraction of the tolerance."""
-        factor = 1 + _USED_TOLERANCE_FRACTION * self._tolerance.overage
-        allowance = _USED_TOLERANCE_FRACTION * self._tolerance.allowance
-        if not quota.counts_tokens:
-            allowance = 0.0
-        return replace(
-            quota, rate=quota.rate * factor, burst=quota.burst * factor + allowance
-        )
-
     def _bucket_of(self, workspace: str, quota: Quota) -> _Bucket:
         bucket = self._buckets.get(workspace)
         if bucket is None:
-            # A starting host doesn't know what the other hosts and its own previous
-            # incarnation have spent.
-            level = _INITIAL_SHARE_FRACTION * self._share_burst(quota)
-            bucket = _Bucket(quota, level, level, self._now())
-            self._buckets[workspace] = bucket
+            bucket = self._buckets[workspace] = self._new_bucket(quota)
             return bucket
         self._fill(bucket)
+        bucket.size = self._tolerance.bucket_for(quota, bucket.mean_cost)
         if bucket.quota != quota:
             bucket.quota = quota
-            bucket.level = min(bucket.level, quota.burst)
-            bucket.share_level = min(bucket.share_level, self._share_burst(quota))
+            bucket.window_limit = self._tolerance.window_limit(quota)
+            bucket.level = min(bucket.level, bucket.size.burst)
+            bucket.share_level = min(bucket.share_level, self._share_burst(bucket))
+        return bucket
+
+    def _new_bucket(self, quota: Quota) -> _Bucket:
+        """Return a bucket with little in it.
+
+        A starting host doesn't know what the other hosts and its own previous
+        incarnation have spent.
+        """
+        mean_cost = 0.0 if quota.counts_tokens else 1.0
+        bucket = _Bucket(
+            quota=quota,
+            size=self._tolerance.bucket_for(quota, mean_cost),
+            spent=SlidingTotal(self._tolerance.window),
+            window_limit=self._tolerance.window_limit(quota),
+            level=0.0,
+            share_level=0.0,
+            filled_at=self._now(),
+            mean_cost=mean_cost,
+        )
+        level = _INITIAL_SHARE_FRACTION * self._share_burst(bucket)
+        bucket.level = bucket.share_level = level
         return bucket
 
     def _fill(self, bucket: _Bucket) -> None:
         now = self._now()
         elapsed = now - bucket.filled_at
         bucket.filled_at = now
-        quota = bucket.quota
         decay = math.exp(-elapsed / _DEMAND_TIME_CONSTANT_SECONDS)
         bucket.demand_rate *= decay
         bucket.peer_spending_rate *= decay
-        bucket.level = min(quota.burst, bucket.level + elapsed * quota.rate)
+        level = bucket.level + elapsed * bucket.size.rate
+        bucket.level = min(bucket.size.burst, level)
         share_level = bucket.share_level + elapsed * self._share_rate(bucket)
-        bucket.share_level = min(self._share_burst(quota), share_level)
+        bucket.share_level = min(self._share_burst(bucket), share_level)
 
     def _spend(self, bucket: _Bucket, cost: float) -> None:
         bucket.level -= cost
+        bucket.spent.add(cost, self._now())
         bucket.admitted += round(cost)
 
     def _spend_from_share(self, bucket: _Bucket, cost: float) -> float:
         """Charge this host's share and return 0, or the seconds until it suffices."""
-        needed = min(cost, self._share_burst(bucket.quota))
-        if bucket.share_level < needed:
-            wait = (needed - bucket.share_level) / self._share_rate(bucket)
+        deficit = min(cost, self._share_burst(bucket)) - bucket.share_level
+        wait = max(
+            deficit / self._share_rate(bucket),
+            self._window_wait(bucket, cost, self._unknown_spending(bucket)),
+        )
+        if wait > 0:
             return min(wait, _MAX_WAIT_SECONDS)
         bucket.share_level -= cost
         self._spend(bucket, cost)
@@ -367,7 +369,7 @@
         A host may overdraw its share with one request and wait afterwards. Without the
         stagger, many hosts would do so at once when a workspace's demand jumps.
         """
-        share = self._share_burst(bucket.quota)
+        share = self._share_burst(bucket)
         offset = self._phase * max(0.0, bucket.mean_cost - share)
         bucket.share_level = min(bucket.share_level, share - offset)
 
@@ -380,7 +382,21 @@
         """Whether enough is left even if other hosts spend the whole reserve."""
         if not self._is_in_contact():
             return False
-        return bucket.level - cost >= self._reserve(bucket)
+        reserve = self._reserve(bucket)
+        if self._window_wait(bucket, cost, reserve) > 0:
+            return False
+        return bucket.level - cost >= reserve
+
+    def _window_wait(self, bucket: _Bucket, cost: float, unknown: float = 0.0) -> float:
+        """Return the seconds until the latest window has room for a cost.
+
+        `unknown` is what other hosts may have spent without this host's knowledge. A
+        cost above the limit fits into an empty window.
+        """
+        if not self._tolerance.window:
+            return 0.0
+        room = max(0.0, bucket.window_limit - unknown - cost)
+        return bucket.spent.seconds_until(room, self._now())
 
     def _credit_of(self, bucket: _Bucket) -> float:
         is_expired = self._now() - bucket.credit_at > _CREDIT_LIFETIME_SECONDS
@@ -388,16 +404,26 @@
 
     def _share_rate(self, bucket: _Bucket) -> float:
         """Return the rate of this host's share."""
-        equal = bucket.quota.rate / max(1, self._host_count())
+        equal = bucket.size.rate / max(1, self._host_count())
         if not self._is_in_contact():
             return _ISOLATED_SHARE_FRACTION * equal
-        burst = bucket.quota.burst
+        burst = bucket.size.burst
         left = bucket.level / burst if burst else 0.0
         return equal * max(1.0, _MAX_SHARE_GROWTH * left)
 
-    def _share_burst(self, quota: Quota) -> float:
+    def _share_burst(self, bucket: _Bucket) -> float:
         """Return the burst of this host's share."""
-        return _SHARE_BURST_FRACTION * quota.burst / max(1, self._host_count())
+        return _SHARE_BURST_FRACTION * bucket.size.burst / max(1, self._host_count())
+
+    def _unknown_spending(self, bucket: _Bucket) -> float:
+        """Return what others may have spent from their shares without a report.
+
+        Shares that are smaller than a request may be overdrawn by all hosts at once.
+        """
+        by_rate = _MAX_SHARE_GROWTH * bucket.size.rate * _PROPAGATION_SECONDS
+        if self._share_burst(bucket) < bucket.mean_cost:
+            return max(by_rate, self._reserve(bucket))
+        return by_rate
 
     def _reserve(self, bucket: _Bucket) -> float:
         """Return what all hosts may spend before they know of each other's spending."""
@@ -410,4 +436,4 @@
             1, self._host_count()
         )
         spending = max(bucket.peer_spending_rate + bucket.demand_rate, extrapolated)
-        return min(bucket.quota.burst, spending * _PROPAGATION_SECONDS)
+        return min(bucket.size.burst, spending * _PROPAGATION_SECONDS)
