Count what other hosts spend before their first report of a workspace

A host took the first total of a workspace that it was told of for its starting point. The sync client already counts totals from this host's own start, so that all that the others spend until their first report, up to half a second's demand, was left out of the bucket and of the window. Totals are kept from the start on now, also for workspaces without a quota yet, so one that gets a quota later starts at what's known.

--- a/src/pepperstep/relay/quotas.py
+++ b/src/pepperstep/relay/quotas.py
@@ -109,9 +109,7 @@
     demand_rate: float = 0.0
     # Moving average of the cost of requests to this host.
     mean_cost: float = 0.0
-    # Latest total that other hosts have admitted, and the exponentially weighted
-    # average of their spending a second.
-    spent_elsewhere: int | None = None
+    # Exponentially weighted average of the other hosts' spending a second.
     peer_spending_rate: float = 0.0
     # Total cost that this host has admitted.
     admitted: int = 0
@@ -141,6 +139,8 @@
         self._now = now
         self._tolerance = tolerance or QuotaTolerance()
         self._buckets: dict[str, _Bucket] = {}
+        # Total cost that other hosts have admitted, by workspace.
+        self._spent_elsewhere: dict[str, int] = {}
         # Time of the first table, None before.
         self._started_at: float | None = None
         self._refilled = trio.Event()
@@ -270,19 +270,21 @@
     def record_spent_elsewhere(self, workspace: str, total: int) -> None:
         """Apply the total cost that all other hosts have admitted.
 
-        Only the growth of `total` counts, so it may start at any value.
+        `total` counts from this host's start on, so that its first growth counts too.
         """
+        known = self._spent_elsewhere.get(workspace, 0)
+        spent = total - known
+        if spent <= 0:
+            return
+        self._spent_elsewhere[workspace] = total
         bucket = self._buckets.get(workspace)
         if bucket is None:
             return
-        if bucket.spent_elsewhere is not None and total > bucket.spent_elsewhere:
-            self._fill(bucket)
-            spent = total - bucket.spent_elsewhere
-            not_granted = spent - self._settle_grants(bucket, spent)
-            bucket.level = max(-bucket.size.burst, bucket.level - not_granted)
-            bucket.spent.add(not_granted, self._now())
-            bucket.peer_spending_rate += spent / _DEMAND_TIME_CONSTANT_SECONDS
-        bucket.spent_elsewhere = max(total, bucket.spent_elsewhere or 0)
+        self._fill(bucket)
+        not_granted = spent - self._settle_grants(bucket, spent)
+        bucket.level = max(-bucket.size.burst, bucket.level - not_granted)
+        bucket.spent.add(not_granted, self._now())
+        bucket.peer_spending_rate += spent / _DEMAND_TIME_CONSTANT_SECONDS
 
     def _bucket_of(self, workspace: str, quota: Quota) -> _Bucket:
         bucket = self._buckets.get(workspace)
--- a/tests/relaying/test_relay.py
+++ b/tests/relaying/test_relay.py
@@ -287,6 +287,22 @@
         assert 100 <= served <= 150
 
 
+async def test_first_spending_of_another_host_counts(autojump_clock):
+    """Guards against an excess by what each host spends before its first report."""
+    tenant = {"name": "desk", "api_keys": ["key-of-desk"], "rate_per_s": 1, "burst": 9}
+    async with open_world(entries=2) as world:
+        await serve(world, "plain", answers(b"chart"))
+        await world.put(2, document(2, tenants=[tenant]))
+        await trio.sleep(12.0)
+        for _ in range(7):
+            assert (await world.ask("e0:1", request("/safe/1"))).status == 200
+        await trio.sleep(0.5)
+        statuses = [
+            (await world.ask("e1:1", request("/safe/1"))).status for _ in range(7)
+        ]
+        assert statuses.count(200) <= 4
+
+
 async def test_refusal_by_quota_is_logged_with_its_inputs(autojump_clock, monkeypatch):
     events = []
     monkeypatch.setattr(
