Let a changed quota start without the debts of the earlier one

After a change to a lower rate, or to another unit, callers within the new rate were refused for seconds: the bucket kept its debt, which the lower rate repays slowly, late reports of what was spent before were charged to it, and the averages stayed in the earlier unit. Now the window's total starts anew with a change, a debt is dropped, and other hosts' growth counts after a second. A lower limit binds later than that by the rule.

--- a/src/pepperstep/relay/quotas.py
+++ b/src/pepperstep/relay/quotas.py
@@ -61,6 +61,9 @@
 # Time for which a refund can be spent again. It counts towards the window in which it
 # was first spent.
 _CREDIT_LIFETIME_SECONDS = 1.0
+# Time after a change of a quota in which other hosts may still report what they spent
+# before it.
+_CHANGE_SECONDS = 1.0
 # Time within which hosts report grants as spent: one exchange each of the spending
 # host, a control host and this host, one of them lost.
 _GRANT_REPORT_SECONDS = 3.0
@@ -119,6 +122,14 @@
     # Times and costs of grants to other hosts that are already subtracted from `level`
     # but not yet in the other hosts' totals.
     unreported_grants: deque[tuple[float, float]] = field(default_factory=deque)
+    # Monotonic time from which other hosts' reports concern this quota.
+    counts_from: float = float("-inf")
+
+    def reset_averages(self, quota: Quota) -> None:
+        """Drop the averages and credits, which are in the unit of another quota."""
+        self.mean_cost = 0.0 if quota.counts_tokens else 1.0
+        self.demand_rate = self.peer_spending_rate = self.credit = 0.0
+        self.unreported_grants.clear()
 
 
 class Quotas:
@@ -282,9 +293,10 @@
             return
         self._fill(bucket)
         not_granted = spent - self._settle_grants(bucket, spent)
-        bucket.level = max(-bucket.size.burst, bucket.level - not_granted)
-        bucket.spent.add(not_granted, self._now())
         bucket.peer_spending_rate += spent / _DEMAND_TIME_CONSTANT_SECONDS
+        if self._now() >= bucket.counts_from:
+            bucket.level = max(-bucket.size.burst, bucket.level - not_granted)
+            bucket.spent.add(not_granted, self._now())
 
     def _bucket_of(self, workspace: str, quota: Quota) -> _Bucket:
         bucket = self._buckets.get(workspace)
@@ -292,31 +304,42 @@
             bucket = self._buckets[workspace] = self._new_bucket(quota)
             return bucket
         self._fill(bucket)
-        bucket.size = self._tolerance.bucket_for(quota, bucket.mean_cost)
         if bucket.quota != quota:
-            bucket.quota = quota
-            bucket.window_limit = self._tolerance.window_limit(quota)
-            bucket.level = min(bucket.level, bucket.size.burst)
-            bucket.share_level = min(bucket.share_level, self._share_burst(bucket))
+            self._change_quota(bucket, quota)
+        bucket.size = self._tolerance.bucket_for(quota, bucket.mean_cost)
         return bucket
 
+    def _change_quota(self, bucket: _Bucket, quota: Quota) -> None:
+        """Apply a changed quota, for which nothing counts that was spent before.
+
+        A debt from a higher rate would take too long to repay at a lower one.
+        """
+        if bucket.quota.counts_tokens != quota.counts_tokens:
+            bucket.reset_averages(quota)
+        bucket.quota = quota
+        bucket.size = self._tolerance.bucket_for(quota, bucket.mean_cost)
+        bucket.window_limit = self._tolerance.window_limit(quota)
+        bucket.spent = SlidingTotal(self._tolerance.window)
+        bucket.counts_from = self._now() + _CHANGE_SECONDS
+        bucket.level = min(max(0.0, bucket.level), bucket.size.burst)
+        bucket.share_level = min(bucket.share_level, self._share_burst(bucket))
+
     def _new_bucket(self, quota: Quota) -> _Bucket:
         """Return a bucket with little in it.
 
         A starting host doesn't know what the other hosts and its own previous
         incarnation have spent.
         """
-        mean_cost = 0.0 if quota.counts_tokens else 1.0
         bucket = _Bucket(
             quota=quota,
-            size=self._tolerance.bucket_for(quota, mean_cost),
+            size=self._tolerance.bucket_for(quota, 0.0),
             spent=SlidingTotal(self._tolerance.window),
             window_limit=self._tolerance.window_limit(quota),
             level=0.0,
             share_level=0.0,
             filled_at=self._now(),
-            mean_cost=mean_cost,
         )
+        bucket.reset_averages(quota)
         level = _INITIAL_SHARE_FRACTION * self._share_burst(bucket)
         bucket.level = bucket.share_level = level
         return bucket
--- a/tests/relaying/test_quota_kinds.py
+++ b/tests/relaying/test_quota_kinds.py
@@ -200,3 +200,47 @@
     play = Play(kind, count, owner=None)
     play.run(Demand(factor, 2))
     assert max_in_a_window(play.admitted) <= kind.allowed
+
+
+CHANGES = {
+    "lower": (Kind(400.0, 400.0), Kind(20.0, 0.0)),
+    "much lower": (Kind(1_000.0, 3_000.0), Kind(5.0, 0.0)),
+    "without burst": (Kind(100.0, 300.0), Kind(100.0, 0.0)),
+    "higher": (Kind(20.0, 0.0), Kind(400.0, 100.0)),
+    "lower, in tokens": (
+        Kind(400_000.0, 400_000.0, (200, 2_400), True, allowance=110_000.0),
+        Kind(20_000.0, 0.0, (200, 2_400), True, allowance=110_000.0),
+    ),
+    "other unit": (
+        Kind(400_000.0, 400_000.0, (200, 2_400), True, allowance=110_000.0),
+        Kind(20.0, 0.0),
+    ),
+    "tokens": (Kind(100.0, 0.0), Kind(50_000.0, 0.0, (200, 2_400), True)),
+}
+change_cases = pytest.mark.parametrize("change", CHANGES)
+
+
+@pytest.mark.parametrize("before", [0.8, 4.0])
+@pytest.mark.parametrize("count", [2, 7, 60])
+@change_cases
+def test_demand_within_a_changed_rate_is_served(change, count, before):
+    """Guards against refusals for what was spent under the quota before."""
+    first, second = CHANGES[change]
+    play = Play(first, count, owner=0)
+    play.run(Demand(before, 2), until=10.0)
+    play.change(second)
+    play.run(Demand(0.7, 2))
+    assert play.served(since=10.0 + BINDING_SECONDS) >= 0.95
+
+
+@pytest.mark.parametrize("count", [2, 7, 60])
+@change_cases
+def test_no_window_exceeds_a_changed_quota(change, count):
+    """Guards against an excess since a host takes the earlier quota for the later."""
+    first, second = CHANGES[change]
+    play = Play(first, count, owner=0)
+    play.run(Demand(4.0, 2), until=10.0)
+    play.change(second)
+    play.run(Demand(4.0, 2))
+    after = [each for each in play.admitted if each[0] >= 10.0 + BINDING_SECONDS]
+    assert max_in_a_window(after) <= second.allowed
