Bound the numbers of tokens in callers' headers

A caller that states 10^26 tokens ended the entry host that admitted it: the admitted total didn't fit into its field of the next report. The same held for the tokens of prompt parts. A number of over 4,300 digits, or a superscript digit in place of one, raised an exception instead, and the caller's connection was closed without an answer. Numbers count up to 10^9 tokens now; the headers themselves are passed on unchanged.

--- a/src/pepperstep/platform/wire.py
+++ b/src/pepperstep/platform/wire.py
@@ -26,6 +26,9 @@
 }
 _STATUS_MAY_HAVE_RUN = {Code.DEADLINE_EXPIRED: 504}
 _LEAST_URGENT_PRIORITY = 9
+# Larger numbers of tokens count as this many, so that sums of them fit into the fields
+# of messages between hosts.
+_MAX_TOKENS = 10**9
 _NOT_RUN = 503
 _MAY_HAVE_RUN = 502
 
@@ -46,7 +49,7 @@
             prompt_tokens=prompt,
             answer_tokens=answer,
             has_tokens=has_tokens,
-            expected_tokens=_parse_integer(values.get(names.LENGTH_HINT, b"")),
+            expected_tokens=_parse_tokens(values.get(names.LENGTH_HINT, b"")) or 0,
             prompt_parts=_parse_prompt_parts(values.get(names.PARTS, b"")),
             last_event_id=values.get(names.LAST_EVENT, b""),
             resumes=values.get(names.RESUMES, b""),
@@ -132,8 +135,13 @@
         return None
 
 
-def _parse_integer(value: bytes) -> int:
-    return int(value) if value.isdigit() else 0
+def _parse_tokens(value: bytes) -> int | None:
+    """Return a number of tokens, at most `_MAX_TOKENS`, None if it isn't a number."""
+    if not value.isdigit():
+        return None
+    # Python converts a limited number of digits only.
+    digits = value.lstrip(b"0")[: len(str(_MAX_TOKENS)) + 1]
+    return min(int(digits or b"0"), _MAX_TOKENS)
 
 
 def _parse_decimal(value: bytes) -> float:
@@ -160,19 +168,20 @@
 
 
 def _parse_token_counts(value: bytes) -> tuple[int, int, bool]:
-    prompt, _, answer = value.partition(b",")
-    prompt, answer = prompt.strip(), answer.strip()
-    if not (prompt.isdigit() and answer.isdigit()):
+    first, _, second = value.partition(b",")
+    prompt, answer = _parse_tokens(first.strip()), _parse_tokens(second.strip())
+    if prompt is None or answer is None:
         return 0, 0, False
-    return int(prompt), int(answer), True
+    return prompt, answer, True
 
 
 def _parse_prompt_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
-    for entry in value.decode("latin-1").split(","):
-        part, _, tokens = entry.strip().partition(":")
-        if part and tokens.isdigit():
-            parts.append(PromptPart(part, int(tokens)))
+    for entry in value.split(b","):
+        part, _, number = entry.strip().partition(b":")
+        tokens = _parse_tokens(number)
+        if part and tokens is not None:
+            parts.append(PromptPart(part.decode("latin-1"), tokens))
     return tuple(parts)
 
 
--- /dev/null
+++ b/tests/fuzz/test_extreme_values.py
@@ -0,0 +1,162 @@
+"""Numbers of any size in operators' documents, headers and heartbeats.
+
+A number that passes a border ends no host: not by a division, a value that doesn't fit
+a field of a message between hosts, or one that a library refuses.
+"""
+
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+
+from pepperstep.fakes.relaying import FakeExchange, Reply, Sent
+from pepperstep.ports.exchange import AnswerHead, RequestHead
+from pepperstep.scheduling import SchedulingSettings
+from tests.relaying.world import document, open_world, request
+
+ID = b"pepperstep-attempt-id"
+# JSON numbers and digits of headers.
+NUMBERS = [
+    "0",
+    "-1",
+    "1e-300",
+    "1e300",
+    "1.7e308",
+    "0.5",
+    str(2**31),
+    str(2**63),
+    str(2**64),
+    str(10**26),
+]
+HEADER_VALUES = [
+    *(each.encode() for each in NUMBERS),
+    b"nan",
+    b"inf",
+    b"1e999",
+    b"9" * 5_000,
+    b"\xb2",
+    b"",
+]
+PATHS = ("/safe/1", "/unsafe/1", "/stream/1", "/resumable/1")
+PARTS = b"aa:100,bb:50"
+
+
+def served(sent: Sent) -> Reply:
+    """Answer a request."""
+    head = AnswerHead(200, ((ID, sent.head.first(ID)),))
+    return Reply(head, (b"id: 1\ndata: a\n\n",), delay=0.02)
+
+
+@asynccontextmanager
+async def serving(is_scheduled: bool):
+    """Yield a world with an upstream of each service; any host's end fails it."""
+    scheduling = SchedulingSettings() if is_scheduled else None
+    async with open_world(entries=2, scheduling=scheduling) as world:
+        for service in ("plain", "model"):
+            world.connector.scripts[f"{service}0:80"] = served
+            await world.announce("c0:1", f"{service}0", service)
+        await trio.sleep(1.0)
+        yield world
+
+
+async def ask_all(world, *headers) -> set[int]:
+    """Send a request of each kind to each host; return the statuses."""
+    statuses = set()
+
+    async def ask(entry: str, path: str, number: int) -> None:
+        head = request(path, (b"pepperstep-prompt-prefix", PARTS), *headers)
+        kept = [each for each in head.headers if each[0] != ID]
+        own = (ID, b"id-%s-%d" % (entry.encode(), number))
+        exchange = FakeExchange(
+            RequestHead(head.method, head.target, (*kept, own)),
+            b"",
+            trio.current_time(),
+        )
+        with trio.move_on_after(3.0):
+            await world.entries[entry].relay.handle(exchange)
+        statuses.add(exchange.status)
+
+    async with trio.open_nursery() as nursery:
+        for entry in world.entries:
+            for number, path in enumerate(PATHS):
+                nursery.start_soon(ask, entry, path, number)
+    await trio.sleep(1.0)
+    return statuses
+
+
+async def check_serves(world, version: int) -> None:
+    """Check that the hosts serve after a usual document."""
+    with trio.fail_after(5.0):
+        await world.put(version)
+    await trio.sleep(2.0)
+    assert 200 in await ask_all(world)
+
+
+REQUEST_HEADERS = {
+    "deadline": (b"pepperstep-deadline-ms", b"%b"),
+    "tokens": (b"pepperstep-token-counts", b"%b,5"),
+    "answer tokens": (b"pepperstep-token-counts", b"5,%b"),
+    "hint": (b"pepperstep-length-hint", b"%b"),
+    "parts": (b"pepperstep-prompt-prefix", b"aa:%b,cc:7"),
+    "last part": (b"pepperstep-prompt-prefix", b"aa:7,cc:%b"),
+    "event": (b"last-event-id", b"%b"),
+}
+
+
+def full_quota(version: int) -> bytes:
+    """Return a document with a quota in tokens that any request fits into."""
+    quota = {"unit": "token_stream", "plain_tokens": 5, "rate_per_s": 1e12}
+    tenant = {"name": "desk", "api_keys": ["key-of-desk"], "burst": 1e12} | quota
+    return document(version, tenants=[tenant])
+
+
+@pytest.mark.parametrize("is_scheduled", [False, True])
+@pytest.mark.parametrize("name", REQUEST_HEADERS)
+async def test_no_number_of_a_caller_ends_a_host(autojump_clock, name, is_scheduled):
+    """Guards against a request that ends the host that admits it."""
+    header, template = REQUEST_HEADERS[name]
+    async with serving(is_scheduled) as world:
+        await world.put(2, full_quota(2))
+        await trio.sleep(2.0)
+        for value in HEADER_VALUES:
+            head = request("/safe/1")
+            kept = tuple(each for each in head.headers if each[0] != header)
+            sent = (*kept, (header, template.replace(b"%b", value)))
+            for target in PATHS:
+                exchange = FakeExchange(
+                    RequestHead(b"POST", target.encode(), sent),
+                    b"",
+                    trio.current_time(),
+                )
+                with trio.move_on_after(3.0):
+                    await world.entries["e0:1"].relay.handle(exchange)
+            await trio.sleep(0.5)
+        await check_serves(world, 3)
+
+
+ANSWER_HEADERS = (
+    b"server-limit",
+    b"retry-after",
+    b"keep-alive",
+    b"pepperstep-weight-versions",
+)
+
+
+@pytest.mark.parametrize("status", [200, 503])
+@pytest.mark.parametrize("name", ANSWER_HEADERS)
+async def test_no_number_of_an_upstream_ends_a_host(autojump_clock, name, status):
+    """Guards against an answer that ends the host that reads it."""
+    async with serving(is_scheduled=False) as world:
+        for value in HEADER_VALUES:
+            value = b"timeout=" + value if name == b"keep-alive" else value
+
+            def answer(sent: Sent, value=value) -> Reply:
+                headers = [(ID, sent.head.first(ID)), (name, value)]
+                if status == 503:
+                    headers.append((b"pepperstep-not-executed", b"1"))
+                return Reply(AnswerHead(status, tuple(headers)), (b"data: a\n\n",))
+
+            for service in ("plain", "model"):
+                world.connector.scripts[f"{service}0:80"] = answer
+            await ask_all(world)
+        assert set(world.entries) == {"e0:1", "e1:1"}
