Bound the version and the quotas of a configuration

A version of 2^64 raised an exception for each call of the operator, who got no answer; it is refused as invalid now. A `plain_tokens` below 0 or of 10^26 ended the entry hosts that admitted a request, as the admitted total didn't fit into its field. Rates, bursts and costs are limited to what has a use.

--- a/src/pepperstep/platform/documents.py
+++ b/src/pepperstep/platform/documents.py
@@ -25,6 +25,11 @@
 _FILE = "configuration"
 # Routes decoded in one step, which takes less than a millisecond.
 _STEP_ROUTES = 200
+# Largest version, and largest rate, burst and cost of a request in a quota: larger ones
+# have no use, and don't fit into the fields of messages between hosts.
+_MAX_VERSION = 2**63 - 1
+_MAX_QUOTA = 1e15
+_MAX_PLAIN_TOKENS = 10**9
 
 
 class _Split(msgspec.Struct):
@@ -215,8 +220,8 @@
 
 def _find_document_errors(document: _Document) -> Iterator[Finding]:
     """Yield the errors of a document outside of its routes."""
-    if document.version <= 0:
-        yield Finding(_FILE, "version", "must be above 0")
+    if not 0 < document.version <= _MAX_VERSION:
+        yield Finding(_FILE, "version", f"must be from 1 to {_MAX_VERSION}")
     key_owners: dict[str, str] = {}
     for index, tenant in enumerate(document.tenants):
         for key in tenant.api_keys:
@@ -298,10 +303,10 @@
     quota = None
     if tenant.rate_per_s > 0:
         quota = Quota(
-            tenant.rate_per_s,
-            tenant.burst,
+            min(tenant.rate_per_s, _MAX_QUOTA),
+            min(max(0.0, tenant.burst), _MAX_QUOTA),
             counts_tokens=tenant.unit == names.UNIT_TOKENS,
-            plain_tokens=tenant.plain_tokens,
+            plain_tokens=min(max(0, tenant.plain_tokens), _MAX_PLAIN_TOKENS),
         )
     return Workspace(tenant.name, tuple(tenant.api_keys), tenant.priority, quota)
 
--- a/tests/fuzz/test_extreme_values.py
+++ b/tests/fuzz/test_extreme_values.py
@@ -4,12 +4,15 @@
 a field of a message between hosts, or one that a library refuses.
 """
 
+import json
 from contextlib import asynccontextmanager
 
 import pytest
 import trio
 
+from pepperstep.errors import InvalidDocument
 from pepperstep.fakes.relaying import FakeExchange, Reply, Sent
+from pepperstep.platform import decode_table
 from pepperstep.ports.exchange import AnswerHead, RequestHead
 from pepperstep.scheduling import SchedulingSettings
 from tests.relaying.world import document, open_world, request
@@ -41,6 +44,78 @@
 PARTS = b"aa:100,bb:50"
 
 
+def set_number(table: dict, path: tuple, number: str) -> bytes:
+    """Return a document with a number at a path of keys and indexes."""
+    mark = "the number"
+    *parents, last = path
+    target = table
+    for key in parents:
+        target = target[key]
+    target[last] = mark
+    return json.dumps(table).encode().replace(f'"{mark}"'.encode(), number.encode())
+
+
+def full_document(version: int) -> dict:
+    """Return a document with all numbers that operators may set."""
+    table = json.loads(document(version))
+    for route in table["routes"]:
+        route |= {"priority": 1, "gap_target_ms": 100.0, "sticky_sessions": True}
+    weights = [{"service": name, "weight": 1.0} for name in ("plain", "plain")]
+    split = {"service": None, "traffic_split": weights}
+    table["routes"][0] |= split
+    for service in table["services"]:
+        service["max_connections"] = 90
+        service["engine"] = {"slots": 4, "kv_capacity_tokens": 1_000}
+        service["autoscale"] = {
+            "min_replicas": 1,
+            "max_replicas": 3,
+            "boot_s": 1.0,
+            "spot_price": 0.3,
+            "zone_prices": {"z1": 1.0},
+        }
+    table["limits"] = {
+        "max_header_bytes": 16_384,
+        "max_body_bytes": 4_194_304,
+        "header_timeout_ms": 3_000,
+        "idle_timeout_ms": 15_000,
+    }
+    quota = {"unit": "token_stream", "plain_tokens": 5, "rate_per_s": 1e6, "burst": 1e6}
+    table["tenants"][0] |= quota | {"priority": 1}
+    return table
+
+
+FIELDS = [
+    ("version",),
+    *(
+        ("routes", index, name)
+        for index in (1, 3)
+        for name in ("timeout_ms", "target_latency_ms", "priority", "max_attempts")
+    ),
+    ("routes", 2, "gap_target_ms"),
+    ("routes", 0, "traffic_split", 0, "weight"),
+    ("services", 1, "max_connections"),
+    *(("services", 1, "engine", name) for name in ("slots", "kv_capacity_tokens")),
+    *(
+        ("services", 1, "autoscale", name)
+        for name in ("min_replicas", "max_replicas", "boot_s", "spot_price")
+    ),
+    ("services", 1, "autoscale", "zone_prices", "z1"),
+    *(
+        ("limits", name)
+        for name in (
+            "max_header_bytes",
+            "max_body_bytes",
+            "header_timeout_ms",
+            "idle_timeout_ms",
+        )
+    ),
+    *(
+        ("tenants", 0, name)
+        for name in ("priority", "plain_tokens", "rate_per_s", "burst")
+    ),
+]
+
+
 def served(sent: Sent) -> Reply:
     """Answer a request."""
     head = AnswerHead(200, ((ID, sent.head.first(ID)),))
@@ -92,6 +167,27 @@
     assert 200 in await ask_all(world)
 
 
+@pytest.mark.parametrize("is_scheduled", [False, True])
+@pytest.mark.parametrize("path", FIELDS, ids=lambda path: ".".join(map(str, path)))
+async def test_no_number_in_a_document_ends_a_host(autojump_clock, path, is_scheduled):
+    """Guards against a valid document with which a host ends by itself."""
+    async with serving(is_scheduled) as world:
+        version = 2
+        for number in NUMBERS:
+            version += 1
+            data = set_number(full_document(version), path, number)
+            try:
+                table = decode_table(data)
+            except InvalidDocument:
+                continue
+            version = table.version
+            with trio.fail_after(5.0):
+                await world.put(version, data)
+            await trio.sleep(0.5)
+            await ask_all(world)
+        await check_serves(world, version + 1)
+
+
 REQUEST_HEADERS = {
     "deadline": (b"pepperstep-deadline-ms", b"%b"),
     "tokens": (b"pepperstep-token-counts", b"%b,5"),
