Refuse a heartbeat whose address can't be connected to

Address and port are checked at the border now, and the connector takes such an error for a failed connection, since control hosts of earlier releases may still pass such an address on.

--- a/src/pepperstep/adapters/http1/client.py
+++ b/src/pepperstep/adapters/http1/client.py
@@ -48,7 +48,8 @@
             )
             with trio.fail_after(timeout):
                 await sock.connect((host, int(port)))
-        except (OSError, trio.TooSlowError) as error:
+        except (OSError, OverflowError, trio.TooSlowError) as error:
+            # Python raises OverflowError for a port that doesn't exist.
             sock.close()
             raise ConnectionFault(f"no connection: {error!r}", False) from error
         except BaseException:
--- a/src/pepperstep/platform/calls.py
+++ b/src/pepperstep/platform/calls.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from ipaddress import AddressValueError, IPv4Address
 from typing import Annotated, Literal, Protocol, TypeVar
 from urllib.parse import parse_qs
 
@@ -74,6 +75,7 @@
 _Number = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 _Name = Annotated[str, msgspec.Meta(min_length=1)]
 _MAX_ROLLOUT_SECONDS = 86_400.0
+_MAX_PORT = 65_535
 _Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9]+(\.[0-9]+){3}:[0-9]{1,5}$")]
 
 
@@ -179,6 +181,7 @@
 
     async def _handle_heartbeat(self, call: _Call) -> Answer:
         heartbeat = _decode(call.body, _Beat)
+        _check_address(heartbeat.address)
         announcement = Announcement(
             id=_name_after(names.HEARTBEAT, call.path),
             service=heartbeat.service,
@@ -252,6 +255,17 @@
         raise Failure(Code.INVALID_REQUEST, str(error)) from error
 
 
+def _check_address(address: str) -> None:
+    """Raise `Failure` with `INVALID_REQUEST` unless an address can be connected to."""
+    ip, _, port = address.rpartition(":")
+    try:
+        IPv4Address(ip)
+    except AddressValueError as error:
+        raise Failure(Code.INVALID_REQUEST, str(error)) from error
+    if not 0 < int(port) <= _MAX_PORT:
+        raise Failure(Code.INVALID_REQUEST, f"The port {port} doesn't exist.")
+
+
 def _name_after(prefix: str, path: str) -> str:
     name = path[len(prefix) :]
     if not name:
--- a/tests/fuzz/test_extreme_values.py
+++ b/tests/fuzz/test_extreme_values.py
@@ -13,6 +13,7 @@
 from pepperstep.errors import InvalidDocument
 from pepperstep.fakes.relaying import FakeExchange, Reply, Sent
 from pepperstep.platform import decode_table
+from pepperstep.platform.calls import ControlHandler
 from pepperstep.ports.exchange import AnswerHead, RequestHead
 from pepperstep.scheduling import SchedulingSettings
 from tests.relaying.world import document, open_world, request
@@ -256,3 +257,56 @@
                 world.connector.scripts[f"{service}0:80"] = answer
             await ask_all(world)
         assert set(world.entries) == {"e0:1", "e1:1"}
+
+
+BEAT = {
+    "service": "plain",
+    "address": "10.0.0.9:80",
+    "zone": "z1",
+    "slots": 4,
+    "state": "ready",
+    "sequence": 7,
+    "cold_remaining_ms": 0,
+    "leaves_ms": 0,
+    "born": 5,
+}
+ADDRESSES = (
+    "10.0.0.9:80800",
+    "10.0.0.9:0",
+    "999.0.0.9:80",
+    "10.0.0.9:99999",
+    "00.00.00.00:00",
+)
+
+
+@pytest.mark.parametrize("is_scheduled", [False, True])
+async def test_no_number_in_a_heartbeat_ends_a_host(autojump_clock, is_scheduled):
+    """Guards against a heartbeat that ends the hosts that learn of it."""
+    numbers = ("slots", "sequence", "cold_remaining_ms", "leaves_ms", "born")
+    beats = [
+        set_number(dict(BEAT), (name,), number)
+        for name in numbers
+        for number in NUMBERS
+    ]
+    beats += [json.dumps(BEAT | {"address": each}).encode() for each in ADDRESSES]
+    async with serving(is_scheduled) as world:
+        handler = ControlHandler(world.controls["c0:1"])
+        for index, body in enumerate(beats):
+            target = b"/-/Replicas.Heartbeat/extra-%d" % index
+            exchange = FakeExchange(RequestHead(b"POST", target, ()), body, 0.0)
+            await handler.handle(exchange)
+            assert exchange.status in (200, 400)
+            if index % 10 == 9:
+                await ask_all(world)
+        await check_serves(world, 2)
+
+
+@pytest.mark.parametrize("address", ADDRESSES)
+async def test_address_that_cannot_be_connected_to_is_refused(autojump_clock, address):
+    async with serving(is_scheduled=False) as world:
+        handler = ControlHandler(world.controls["c0:1"])
+        body = json.dumps(BEAT | {"address": address}).encode()
+        head = RequestHead(b"POST", b"/-/Replicas.Heartbeat/extra", ())
+        exchange = FakeExchange(head, body, 0.0)
+        await handler.handle(exchange)
+        assert exchange.status == 400
--- a/tests/relaying/test_http1.py
+++ b/tests/relaying/test_http1.py
@@ -348,9 +348,10 @@
         assert caught.value.was_sent
 
 
-async def test_refused_connection_has_sent_nothing():
+@pytest.mark.parametrize("address", ["127.0.0.1:9", "127.0.0.1:80800"])
+async def test_refused_connection_has_sent_nothing(address):
     with pytest.raises(ConnectionFault) as caught:
-        await Http1Connector(trio.current_time).connect("127.0.0.1:9", 1.0)
+        await Http1Connector(trio.current_time).connect(address, 1.0)
     assert not caught.value.was_sent
 
 
