Keep the weights of a split route relative to the largest one

Two weights of 1.7e308, which no check refuses, add up to infinity: the draw of a service raised an exception for each request of the route, whose connection was closed without an answer. The test failed before ('Total of weights must be finite').

--- a/src/pepperstep/platform/documents.py
+++ b/src/pepperstep/platform/documents.py
@@ -254,8 +254,10 @@
 
 def _route_of(route: _Route) -> Route:
     is_safe = route.kind == names.KIND_SAFE
+    # Relative to the largest weight, so that their sum is always finite.
+    largest = max((split.weight for split in _splits_of(route)), default=1.0)
     shares = [
-        Share(split.service, split.weight)
+        Share(split.service, split.weight / largest)
         for split in _splits_of(route)
         if split.weight > 0
     ]
--- a/tests/fuzz/test_extreme_values.py
+++ b/tests/fuzz/test_extreme_values.py
@@ -189,6 +189,17 @@
         await check_serves(world, version + 1)
 
 
+async def test_weights_whose_sum_is_infinite_are_relative(autojump_clock):
+    """Guards against a split route none of whose requests is answered."""
+    table = full_document(2)
+    for split in table["routes"][0]["traffic_split"]:
+        split["weight"] = 1.7e308
+    async with serving(is_scheduled=False) as world:
+        await world.put(2, json.dumps(table).encode())
+        await trio.sleep(2.0)
+        assert await ask_all(world) == {200}
+
+
 REQUEST_HEADERS = {
     "deadline": (b"pepperstep-deadline-ms", b"%b"),
     "tokens": (b"pepperstep-token-counts", b"%b,5"),
