Expire a quota's window as amounts are added, and bound small rates

With a window of 0 nothing asked for the total, so its parts would have been kept for good. Found by reading.

--- a/src/pepperstep/platform/documents.py
+++ b/src/pepperstep/platform/documents.py
@@ -26,9 +26,11 @@
 # Routes decoded in one step, which takes less than a millisecond.
 _STEP_ROUTES = 200
 # Largest version, and largest rate, burst and cost of a request in a quota: larger ones
-# have no use, and don't fit into the fields of messages between hosts.
+# have no use, and don't fit into the fields of messages between hosts. A smaller rate
+# than the least one would be 0 as a host's share.
 _MAX_VERSION = 2**63 - 1
 _MAX_QUOTA = 1e15
+_MIN_RATE = 1e-9
 _MAX_PLAIN_TOKENS = 10**9
 
 
@@ -305,7 +307,7 @@
     quota = None
     if tenant.rate_per_s > 0:
         quota = Quota(
-            min(tenant.rate_per_s, _MAX_QUOTA),
+            min(max(_MIN_RATE, tenant.rate_per_s), _MAX_QUOTA),
             min(max(0.0, tenant.burst), _MAX_QUOTA),
             counts_tokens=tenant.unit == names.UNIT_TOKENS,
             plain_tokens=min(max(0, tenant.plain_tokens), _MAX_PLAIN_TOKENS),
--- a/src/pepperstep/relay/quota_limits.py
+++ b/src/pepperstep/relay/quota_limits.py
@@ -15,9 +15,9 @@
 # excess, but at least this fraction of the quota's amount.
 _LATE_EXCESS_FRACTION = 0.2
 _LATE_AMOUNT_FRACTION = 0.02
-# A bucket holds at least this many seconds of its rate or, if that's less, this many
-# requests, but no more than some seconds of its rate. Callers within the rate send
-# requests in clumps, also if the quota has no burst.
+# Least burst of a bucket: the larger of some seconds of its rate and some requests, the
+# latter up to a limit in seconds. Callers within the rate send requests in clumps, also
+# if the quota has no burst.
 _LEAST_BURST_SECONDS = 1.0
 _LEAST_BURST_REQUESTS = 8
 _MAX_LEAST_BURST_SECONDS = 2.0
@@ -99,6 +99,7 @@
 
     def add(self, amount: float, now: float) -> None:
         """Add an amount at the monotonic time `now`."""
+        self._expire(now)
         self._total += amount
         if self._bins and now < self._bins[-1][0]:
             until, earlier = self._bins.pop()
@@ -108,10 +109,7 @@
 
     def total(self, now: float) -> float:
         """Return the total at the monotonic time `now`."""
-        while self._bins and self._bins[0][0] + self._window <= now:
-            self._total -= self._bins.popleft()[1]
-        if not self._bins:
-            self._total = 0.0
+        self._expire(now)
         return self._total
 
     def seconds_until(self, total: float, now: float) -> float:
@@ -124,3 +122,10 @@
             left -= amount
             wait = until + self._window - now
         return wait
+
+    def _expire(self, now: float) -> None:
+        while self._bins and self._bins[0][0] + self._window <= now:
+            self._total -= self._bins.popleft()[1]
+        if not self._bins:
+            # Without the rounding errors of the additions.
+            self._total = 0.0
--- a/src/pepperstep/relay/quotas.py
+++ b/src/pepperstep/relay/quotas.py
@@ -7,6 +7,9 @@
 (`quota_claims`). If the owner doesn't answer, each host spends only from its share of
 the rate, which bounds the excess however many hosts decide at the same time.
 
+Besides, each host keeps the known total of the latest window and stops at what the
+deployment tolerates there. So a small burst may be enlarged without a larger excess.
+
 While the bucket is low, all hosts have equal shares. Shares grow with the bucket's
 level, because callers are spread unevenly and some of the counted hosts are gone. A
 host without contact uses only a fraction of its share, as the other hosts spend the
--- a/tests/fuzz/test_extreme_values.py
+++ b/tests/fuzz/test_extreme_values.py
@@ -23,6 +23,7 @@
 NUMBERS = [
     "0",
     "-1",
+    "5e-324",
     "1e-300",
     "1e300",
     "1.7e308",
