Refill quotas after a restart of all hosts by their own burst only

The refill after a restart of all hosts, which forget what they spent, went up to one second of the rate also where the quota has no burst, since buckets are enlarged now. A bucket is refilled by at most the burst that the quota and the used tolerance give.

--- a/src/pepperstep/relay/quota_limits.py
+++ b/src/pepperstep/relay/quota_limits.py
@@ -40,6 +40,8 @@
     burst: float
     # Level from which on nothing is granted to other hosts.
     ungranted: float
+    # Most that is in it after a restart of all hosts, which forget what they spent.
+    refill: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,11 +70,11 @@
             ),
         )
         if self.window and burst < least:
-            return BucketSize(quota.rate, least, ungranted=0.0)
+            return BucketSize(quota.rate, least, ungranted=0.0, refill=burst)
         ungranted = min(
             _UNGRANTED_FRACTION * burst, _MAX_UNGRANTED_SECONDS * quota.rate
         )
-        return BucketSize(quota.rate * factor, burst, ungranted)
+        return BucketSize(quota.rate * factor, burst, ungranted, refill=burst)
 
     def window_limit(self, quota: Quota) -> float:
         """Return the amount that may be admitted in any window."""
--- a/src/pepperstep/relay/quotas.py
+++ b/src/pepperstep/relay/quotas.py
@@ -175,9 +175,10 @@
         """Refill the buckets after a restart of all hosts, during which none spent."""
         for bucket in self._buckets.values():
             self._fill(bucket)
-            refill = _RESTART_SECONDS * bucket.size.rate
+            refill = min(_RESTART_SECONDS * bucket.size.rate, bucket.size.refill)
             bucket.level = min(bucket.size.burst, bucket.level + refill)
-            bucket.share_level = self._share_burst(bucket)
+            share = min(refill, self._share_burst(bucket))
+            bucket.share_level = max(bucket.share_level, share)
         self._refilled.set()
 
     @property
--- a/tests/relaying/test_quota_kinds.py
+++ b/tests/relaying/test_quota_kinds.py
@@ -99,6 +99,15 @@
         self._kind = kind
         self.hosts.change(kind.workspace, APPLY_SECONDS)
 
+    def restart_all(self, down_seconds: float) -> None:
+        """Restart all hosts after some seconds without any."""
+        self.hosts.now += down_seconds
+        self._exchange_times = [
+            self.hosts.now + self._rng.random() * EXCHANGE_SECONDS
+            for _ in self._exchange_times
+        ]
+        self.hosts.restart_all()
+
     def served(self, since: float) -> float:
         """Return the admitted fraction of the cost asked for since a time."""
         asked = sum(cost for now, cost in self.asked if now >= since)
@@ -202,6 +211,22 @@
     assert max_in_a_window(play.admitted) <= kind.allowed
 
 
+@pytest.mark.parametrize("owner", [None, 0])
+@pytest.mark.parametrize("count", [2, 7])
+@pytest.mark.parametrize("rate", [20.0, 200.0])
+@pytest.mark.parametrize("factor", [2.0, 8.0])
+def test_no_window_exceeds_the_tolerance_when_all_hosts_restart(
+    factor, rate, count, owner
+):
+    """Guards against a refill by a burst that the quota doesn't have."""
+    kind = Kind(rate, 0.0)
+    play = Play(kind, count, owner)
+    play.run(Demand(factor, 2), until=12.0)
+    play.restart_all(down_seconds=1.0)
+    play.run(Demand(factor, 2))
+    assert max_in_a_window(play.admitted) <= kind.allowed
+
+
 CHANGES = {
     "lower": (Kind(400.0, 400.0), Kind(20.0, 0.0)),
     "much lower": (Kind(1_000.0, 3_000.0), Kind(5.0, 0.0)),
