Skip a limited number of late answers

The loop that looks for the answer had neither a limit nor, with the fake, a point at which its deadline could end it. It gives up after 64 answers now, as one that may have run, and the fake's connection sends nothing after its scripted answer. Found by the stack of the aborted worker; which test it was isn't known.

--- a/src/pepperstep/fakes/relaying.py
+++ b/src/pepperstep/fakes/relaying.py
@@ -1,6 +1,7 @@
 """Fakes of the relay's HTTP peers: callers and upstreams."""
 
 import enum
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -141,6 +142,7 @@
         self._address = address
         self._reply = Reply()
         self._strays: list[AnswerHead] = []
+        self._is_answered = False
         self._is_idle = True
         self._closed = trio.Event()
         self.idle_since = trio.current_time()
@@ -159,6 +161,7 @@
         await self._wait(self._reply.delay)
         await self._check_link()
         self._strays = list(self._reply.strays)
+        self._is_answered = False
         return self._next_head()
 
     async def pieces(self) -> AsyncIterator[bytes]:
@@ -173,7 +176,12 @@
         self.idle_since = trio.current_time()
 
     async def skip_answer(self) -> AnswerHead:
-        """Skip a stray answer and return the head of the next one."""
+        """Skip a stray answer and return the head of the next one.
+
+        After the scripted answer, none follows until the connection is closed.
+        """
+        if self._is_answered:
+            await self._wait(math.inf)
         return self._next_head()
 
     def is_reusable(self) -> bool:
@@ -206,6 +214,7 @@
     def _next_head(self) -> AnswerHead:
         if self._strays:
             return self._strays.pop(0)
+        self._is_answered = True
         if self._reply.head is None:
             raise ConnectionFault("closed without an answer", True)
         return self._reply.head
--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -28,6 +28,9 @@
 
 __all__ = ["AttemptRunner", "Outcome", "OutcomeCallback"]
 
+# Late answers to other requests that are skipped before the expected one. An upstream
+# that sends more answers nothing that it is asked.
+_MAX_LATE_ANSWERS = 64
 _MIN_SERVER_ERROR_STATUS = 500
 # Status of the only refusals that echo no id: the upstream has found none in the
 # request.
@@ -208,14 +211,18 @@
         """Return the answer to this request, skipping late answers to earlier ones.
 
         Nothing that a skipped answer states is used, as its upstream's state may have
-        changed since. The request's deadline ends the search.
+        changed since.
         """
         facts = self._wire.read_answer(head)
+        skipped = 0
         while facts.attempt_id != request.facts.attempt_id:
             if not facts.attempt_id:
                 if facts.was_refused and head.status == _UNIDENTIFIED_STATUS:
                     break
                 raise ConnectionFault("the answer names no request", True)
+            skipped += 1
+            if skipped > _MAX_LATE_ANSWERS:
+                raise ConnectionFault("the answers belong to other requests", True)
             logging.info(
                 "relay: %s: skipped the answer with status %d to %s",
                 request.name,
