Log and count who gave a caller the status of an error

Cause: request_answered has no status, so a failure that an upstream gave looks like a success, and request_refused doesn't tell the status or whether anything was sent before.

Change: request_answered has the status; request_refused the status, the attempts, and the latest answer's upstream and status; attempt_failed the answer's status and whether it states that the request hasn't run. The counter pepperstep_statuses has the errors that callers got, by status and source (this host, an upstream, another entry host).

--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -82,6 +82,10 @@
     content: str = ""
     # Digests of the prompt parts that it may share with other requests, likewise.
     parts: tuple[str, ...] = ()
+    # Status of the upstream's answer, 0 without one, and whether that answer states
+    # that the upstream hasn't run the request.
+    status: int = 0
+    states_not_run: bool = False
 
 
 class RequestForwarded(Decision, tag="request_forwarded"):
@@ -179,6 +183,13 @@
     upstreams: int = 0
     # Requested host and path, if no route matches them.
     target: str = ""
+    # Status sent to the caller, 0 if the answer was aborted.
+    status: int = 0
+    # Attempts that got a connection, and the upstream and the status of the latest
+    # answer, "" and 0 without one.
+    attempts: int = 0
+    upstream: str = ""
+    upstream_status: int = 0
 
 
 class QuotaExceeded(Decision, tag="quota_exceeded"):
@@ -280,6 +291,8 @@
     prompt_tokens: int = 0
     # What marked the end of the upstream's answer: "length", "chunked" or "close".
     framing: str = ""
+    # Status sent to the caller, which is the upstream's.
+    status: int = 0
 
 
 class TableInForce(Decision, tag="routes_in_force"):
--- a/src/pepperstep/observability/relay_metrics.py
+++ b/src/pepperstep/observability/relay_metrics.py
@@ -1,5 +1,6 @@
 """Prometheus metrics of the relay, by workspace and request class, or by service."""
 
+import enum
 from collections.abc import Callable
 
 from prometheus_client import (
@@ -11,7 +12,7 @@
     generate_latest,
 )
 
-__all__ = ["RelayMetrics"]
+__all__ = ["RelayMetrics", "StatusSource"]
 
 # Upper bounds in seconds.
 _FIRST_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.35, 0.54, 0.8, 1, 1.5, 2.5, 5)
@@ -28,6 +29,20 @@
 # which each has some twenty.
 _MAX_SERVICES = 50
 _OTHERS = "others"
+_MIN_ERROR_STATUS = 400
+# Statuses with series of their own; an upstream may answer with any.
+_KNOWN_STATUSES = frozenset(
+    (400, 401, 403, 404, 408, 409, 413, 421, 422, 429, 431, 500, 502, 503, 504)
+)
+
+
+class StatusSource(enum.StrEnum):
+    """Who gave the status that a caller gets."""
+
+    UPSTREAM = "upstream"
+    HOST = "host"
+    # Another entry host, to which the request was forwarded.
+    PEER = "peer"
 
 
 class RelayMetrics:
@@ -55,6 +70,12 @@
             ("service",),
             registry=self.registry,
         )
+        self._statuses = Counter(
+            "pepperstep_statuses",
+            "Statuses of at least 400 that callers got, by who gave them",
+            ("source", "status"),
+            registry=self.registry,
+        )
         self._forwarded = Counter(
             "pepperstep_forwarded",
             "Requests sent to other entry hosts, as this one is cut off from upstreams",
@@ -127,6 +148,12 @@
         """Count a request that this system answered with an error."""
         self._refused.labels(*self._labels(workspace, kind), code).inc()
 
+    def note_status(self, source: StatusSource, status: int) -> None:
+        """Count the status of an error that a caller got."""
+        if status >= _MIN_ERROR_STATUS:
+            label = str(status) if status in _KNOWN_STATUSES else _OTHERS
+            self._statuses.labels(source, label).inc()
+
     def note_failed(self, service: str) -> None:
         """Count an attempt without an answer for the caller."""
         self._failed.labels(service).inc()
--- a/src/pepperstep/relay/answers.py
+++ b/src/pepperstep/relay/answers.py
@@ -39,6 +39,7 @@
         self, request: RelayedRequest, connection: UpstreamConnection, head: AnswerHead
     ) -> None:
         """Forward an answer to its end; raise `ConnectionFault` if it broke off."""
+        request.sent_status = head.status
         if request.route.is_stream and is_event_stream(head):
             await self._forward_events(request, connection, head)
         else:
@@ -101,6 +102,7 @@
         Without the shield, a deadline that expires during the sending would break the
         connection although the answer has arrived.
         """
+        request.sent_status = answer.status
         with trio.move_on_after(_SEND_TIMEOUT_SECONDS, shield=True):
             await request.exchange.answer(answer)
 
--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -95,6 +95,7 @@
         upstream = choice.upstream
         request.tried.add(upstream.key)
         request.choice = choice
+        request.upstream_status, request.states_not_run = 0, False
         request.attempt_started_at = self._timers.now()
         request.is_prefill_pending = bool(request.facts.prompt_parts)
         self._chooser.begin(choice, request.facts)
@@ -174,6 +175,7 @@
             )
             head, facts = await self._find_answer(request, connection, head)
             request.framing, request.upstream_status = head.framing, head.status
+            request.states_not_run = facts.was_refused
             self._pools.set_keep_alive(upstream.key, facts.keep_seconds)
             if facts.other_upstream in ("", upstream.id):
                 self._crash_guard.record_alive(upstream.key, request.attempt_started_at)
--- a/src/pepperstep/relay/peer_forwarding.py
+++ b/src/pepperstep/relay/peer_forwarding.py
@@ -17,7 +17,7 @@
 
 from pepperstep.coordination import StreamOrigin
 from pepperstep.observability.decisions import RequestForwarded
-from pepperstep.observability.relay_metrics import RelayMetrics
+from pepperstep.observability.relay_metrics import RelayMetrics, StatusSource
 from pepperstep.ports import Timers
 from pepperstep.ports.exchange import (
     Answer,
@@ -212,6 +212,8 @@
         reason: str = "",
     ) -> None:
         self._metrics.note_forwarded(outcome)
+        if outcome is Outcome.ANSWERED:
+            self._metrics.note_status(StatusSource.PEER, status)
         age = self._timers.now() - request.exchange.arrived_at
         event = RequestForwarded(
             request=request.name,
--- a/src/pepperstep/relay/recorder.py
+++ b/src/pepperstep/relay/recorder.py
@@ -13,7 +13,7 @@
     RequestRefused,
     RetryAsked,
 )
-from pepperstep.observability.relay_metrics import RelayMetrics
+from pepperstep.observability.relay_metrics import RelayMetrics, StatusSource
 from pepperstep.ports import Timers
 from pepperstep.ports.exchange import Exchange, RequestHead
 from pepperstep.relay.budget import BudgetState
@@ -78,6 +78,8 @@
             after_ms=self._age_ms(request.exchange),
             content=f"{request.content:016x}" if request.may_have_run else "",
             parts=_digests_of(request) if request.may_have_run else (),
+            status=request.upstream_status,
+            states_not_run=request.states_not_run,
         )
         logging.info("relay: %s", event)
 
@@ -104,7 +106,7 @@
         self._metrics.note_resumption(outcome)
 
     def record_answered(self, request: RelayedRequest) -> None:
-        """Record a request that an upstream has answered."""
+        """Record a request that an upstream has answered, whatever its status."""
         now = self._timers.now()
         arrived_at = request.exchange.arrived_at
         first_byte_seconds = (request.first_byte_at or now) - arrived_at
@@ -125,7 +127,9 @@
             target_ms=round(1000 * request.route.target_latency),
             prompt_tokens=request.facts.prompt_tokens,
             framing=request.framing or "",
+            status=request.sent_status,
         )
+        self._metrics.note_status(StatusSource.UPSTREAM, request.sent_status)
         logging.info("relay: %s", event)
 
     def record_abandoned(self, request: RelayedRequest) -> None:
@@ -167,12 +171,18 @@
         exchange: Exchange,
         name: str,
         failure: Failure,
+        status: int,
         request: RelayedRequest | None,
     ) -> None:
-        """Record a request that ends with this system's own failure."""
+        """Record a request that ends with this system's own failure.
+
+        `status` is the one sent to the caller, 0 if the answer is aborted.
+        """
         workspace = "" if request is None else request.workspace_name
         kind = _UNKNOWN_CLASS if request is None else metric_class(request)
         self._metrics.note_refused(workspace, kind, failure.code)
+        self._metrics.note_status(StatusSource.HOST, status)
+        choice = None if request is None else request.choice
         event = RequestRefused(
             request=name,
             code=failure.code,
@@ -187,6 +197,10 @@
             service="" if request is None else request.service.name,
             upstreams=0 if request is None else self._count_upstreams(request),
             target=truncated_target(exchange.head) if request is None else "",
+            status=status,
+            attempts=0 if request is None else request.attempt_count,
+            upstream="" if choice is None else choice.upstream.id,
+            upstream_status=0 if request is None else request.upstream_status,
         )
         logging.info("relay: %s", event)
 
--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -8,7 +8,7 @@
 from pepperstep.entities.routes import Route, Workspace
 from pepperstep.errors import Code, Execution, Failure
 from pepperstep.ports import Timers
-from pepperstep.ports.exchange import CallerGone, Exchange
+from pepperstep.ports.exchange import Answer, CallerGone, Exchange
 from pepperstep.ports.relaying import RelayWire, RequestFacts
 from pepperstep.relay.attempt import AttemptRunner, Outcome
 from pepperstep.relay.budget import RetryBudget
@@ -137,9 +137,11 @@
             raise
         except Failure as failure:
             self._refund_quota(request)
+            answer = self._wire.write_failure(failure, facts.attempt_id)
+            status = 0 if exchange.has_begun else answer.status
             name = facts.attempt_id.decode("latin-1")
-            self._recorder.record_refused(exchange, name, failure, request)
-            await self._send_failure(exchange, failure, facts.attempt_id)
+            self._recorder.record_refused(exchange, name, failure, status, request)
+            await self._send_failure(exchange, answer)
         else:
             if not request.answered_by:
                 self._recorder.record_answered(request)
@@ -422,14 +424,12 @@
         text = "No upstream took the request in its time."
         raise Failure(Code.NO_UPSTREAM, text, retry_after=_DEFAULT_RETRY_AFTER_SECONDS)
 
-    async def _send_failure(
-        self, exchange: Exchange, failure: Failure, attempt_id: bytes
-    ) -> None:
-        """Answer with a failure, or abort the connection if an answer has begun."""
+    async def _send_failure(self, exchange: Exchange, answer: Answer) -> None:
+        """Send a failure, or abort the connection if an answer has begun."""
         if exchange.has_begun:
             exchange.abort()
             return
-        await exchange.answer(self._wire.write_failure(failure, attempt_id))
+        await exchange.answer(answer)
 
 
 def _priority_of(route: Route, workspace: Workspace | None) -> int:
--- a/src/pepperstep/relay/relayed_request.py
+++ b/src/pepperstep/relay/relayed_request.py
@@ -66,6 +66,10 @@
     # Framing of the latest answer's body, None before an answer, and its status.
     framing: Framing | None = None
     upstream_status: int = 0
+    # Whether that answer states that the upstream hasn't run the request.
+    states_not_run: bool = False
+    # Status sent to the caller from an upstream's answer, 0 until then.
+    sent_status: int = 0
     # What was known of its features when the latest attempt began, without those that
     # nothing was known of.
     suspicions: dict[int, Suspicion] = field(default_factory=dict)
