Show that an upstream's own status is taken for the promise "not run"

What callers saw: 503, 429 or 408 for requests that ran at one upstream. They may repeat such a request, which then runs again under another id.

Evidence: test_upstream_that_ran_a_request_makes_no_promise draws the three statuses, headers (Retry-After, an event stream's type, a length, the end of the connection) and both routes whose requests may run once (unsafe, and streams that can't be resumed).

--- a/tests/relaying/test_promises.py
+++ b/tests/relaying/test_promises.py
@@ -1,6 +1,12 @@
 """Statuses that promise a caller that its request hasn't run and never will."""
 
+import json
+
+import pytest
+import trio
 from absl import logging
+from hypothesis import HealthCheck, Phase, given, settings, strategies as st
+from trio.testing import MockClock
 
 from pepperstep.fakes.relaying import Reply, Sent
 from pepperstep.observability.decisions import (
@@ -8,13 +14,35 @@
     RequestFailed,
     RequestRefused,
 )
-from pepperstep.ports.exchange import AnswerHead, Header
+from pepperstep.ports.exchange import AnswerHead, Header, RequestHead
 from tests.relaying.upstreams import serving
-from tests.relaying.world import request
+from tests.relaying.world import document, request
 
+PROPERTY = settings(
+    max_examples=60,
+    derandomize=True,
+    deadline=None,
+    # An example takes too long to be shrunk.
+    phases=(Phase.explicit, Phase.generate),
+    suppress_health_check=list(HealthCheck),
+)
 ID = b"pepperstep-attempt-id"
 SEAL = (b"pepperstep-replica-seal", b"3e1b.07")
 NOT_EXECUTED = (b"pepperstep-not-executed", b"1")
+PROMISES = (408, 421, 429, 503)
+RUN_ONCE = ("/unsafe/1", "/stream/1")
+REPEATABLE = ("/safe/1", "/resumable/1")
+
+headers = st.sets(
+    st.sampled_from(
+        (
+            (b"retry-after", b"0.2"),
+            (b"content-type", b"text/event-stream"),
+            (b"content-length", b"5"),
+            (b"connection", b"close"),
+        )
+    )
+)
 
 
 class Upstream:
@@ -35,6 +63,69 @@
         return Reply(head, (b"busy\n",))
 
 
+async def allow_attempts(world, count: int) -> None:
+    """Let each route send a request to several upstreams."""
+    table = json.loads(document(2))
+    for route in table["routes"]:
+        route["max_attempts"] = count
+    await world.put(2, json.dumps(table).encode())
+    await trio.sleep(1.0)
+
+
+def numbered(path: str, number: int) -> RequestHead:
+    """Return a request with an id of its own."""
+    head = request(path)
+    kept = [each for each in head.headers if each[0] != ID]
+    return RequestHead(head.method, head.target, (*kept, (ID, b"id-%d" % number)))
+
+
+@PROPERTY
+@given(st.sampled_from((408, 429, 503)), headers, st.sampled_from(RUN_ONCE))
+def test_upstream_that_ran_a_request_makes_no_promise(status, headers, path):
+    """Guards against a caller that repeats a request which has run."""
+
+    async def main() -> None:
+        upstreams = [Upstream(status, *sorted(headers)) for _ in range(2)]
+        async with serving(upstreams, entries=1) as world:
+            await allow_attempts(world, 2)
+            exchange = await world.ask("e0:1", request(path))
+        assert sum(each.runs for each in upstreams) == 1
+        assert exchange.status == 502
+        # An upstream's seal stands for the status that it gave.
+        assert not exchange.answer_head.first(SEAL[0])
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize("status", [400, 404, 409, 422, 500, 501, 502, 504])
+@pytest.mark.parametrize("path", RUN_ONCE)
+async def test_upstream_status_that_promises_nothing_is_kept(
+    autojump_clock, status, path
+):
+    upstream = Upstream(status)
+    async with serving([upstream], entries=1) as world:
+        exchange = await world.ask("e0:1", request(path))
+    assert (exchange.status, exchange.received) == (status, b"busy\n")
+    assert exchange.answer_head.first(SEAL[0]) == SEAL[1]
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("path", REPEATABLE)
+async def test_status_of_a_repeatable_request_is_kept(autojump_clock, status, path):
+    async with serving([Upstream(status)], entries=1) as world:
+        exchange = await world.ask("e0:1", request(path))
+    assert (exchange.status, exchange.received) == (status, b"busy\n")
+    assert exchange.answer_head.first(SEAL[0]) == SEAL[1]
+
+
+@pytest.mark.parametrize("status", [400, 408, 421, 429, 503])
+@pytest.mark.parametrize("path", RUN_ONCE)
+async def test_stated_refusal_is_a_promise(autojump_clock, status, path):
+    async with serving([Upstream(status, states_not_run=True)], entries=1) as world:
+        exchange = await world.ask("e0:1", request(path))
+    assert exchange.status == 503
+
+
 async def test_log_tells_who_gave_a_status(autojump_clock, monkeypatch):
     events = []
     monkeypatch.setattr(logging, "info", lambda text, *values: events.extend(values))
