Pass on no status that promises "not run" for a request that ran once

What callers saw: 503, 429 or 408, with the upstream's seal, for unsafe requests and streams that can't be resumed, although an upstream had run them. These statuses promise that a request hasn't run and never will, so a caller sends it again, and it runs twice.

Cause: a status below 500 was forwarded and one from 500 on kept and forwarded if nothing else answered, whatever it promises. Whether the request may have run was known, but asked only for failures of this system.

Change: on routes whose requests mustn't run twice, an upstream's 408, 429 or 503 without its statement that it hasn't run the request is withheld. The caller gets 502 of this host, without the upstream's seal. Repeatable routes and all other statuses are as before. An upstream with 408 or 429 stays in use, as before.

The proof of the mechanism is in proofs/.

--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -32,6 +32,7 @@
 _QUOTAS = "tests/relaying/test_quota_windows.py::"
 _KINDS = "tests/relaying/test_quota_kinds.py::"
 _LATE = "tests/relaying/test_late_answers.py::"
+_PROMISES = "tests/relaying/test_promises.py::"
 _PARTIAL = "tests/relaying/test_partial_views.py::"
 _LEAVING = "tests/relaying/test_leaving_upstreams.py::"
 _LIMITS = "tests/relaying/test_stated_limits.py::"
@@ -144,6 +145,14 @@
             f"{_LATE}test_late_answers_are_skipped_whatever_they_say",
         ),
     ),
+    Mechanism(
+        2,
+        "an upstream's own status is no promise that a request hasn't run",
+        "relay/attempt.py",
+        "        if is_promise(head.status) and not request.route.is_repeatable:\n",
+        "        if False:\n",
+        (f"{_PROMISES}test_upstream_that_ran_a_request_makes_no_promise",),
+    ),
     Mechanism(
         2,
         "an answer that breaks off resets the caller's connection",
--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -20,6 +20,7 @@
 from pepperstep.relay.counts import RunCounts
 from pepperstep.relay.crash_guard import CrashGuard
 from pepperstep.relay.pools import Pools
+from pepperstep.relay.promises import is_promise
 from pepperstep.relay.relayed_request import RelayedRequest
 from pepperstep.relay.selector import Selector
 from pepperstep.relay.signals import AnswerSignals
@@ -48,8 +49,13 @@
     NOT_RUN = "not run"
     # The request may have run, and no complete answer came.
     FAILED = "failed"
+    # The upstream answered, but its status would wrongly promise the caller that the
+    # request hasn't run.
+    WITHHELD = "withheld"
 
 
+_ANSWERS = frozenset((Outcome.ANSWERED, Outcome.WITHHELD))
+
 # Called with the upstream, the route's name, the seconds until the answer's first byte
 # (None for a failure) and the predicted seconds until then (0 if unknown).
 OutcomeCallback = Callable[[Announcement, str, float | None, float], None]
@@ -133,7 +139,7 @@
     ) -> None:
         """Report an attempt's duration, or that it brought no answer."""
         seconds = None
-        if outcome is Outcome.ANSWERED:
+        if outcome in _ANSWERS:
             seconds = self._timers.now() - request.attempt_started_at
         self._selector.end(choice, seconds)
 
@@ -148,7 +154,7 @@
         elapsed = self._timers.now() - request.attempt_started_at
         expected = request.choice.first_token
         route = request.route
-        if outcome is Outcome.ANSWERED:
+        if outcome in _ANSWERS:
             seconds = request.first_byte_at - request.attempt_started_at
             self._on_outcome(upstream, route.name, seconds, expected)
         elif outcome is Outcome.FAILED or not is_healthy and outcome is None:
@@ -250,6 +256,8 @@
         request.may_have_run = True
         if request.exchange.has_begun and not is_event_stream(head):
             return await self._discard_failure(request, upstream, connection, head)
+        if is_promise(head.status) and not request.route.is_repeatable:
+            return await self._withhold(request, connection, head)
         if head.status >= _MIN_SERVER_ERROR_STATUS:
             return await self._store_failure(request, connection, head)
         await self._answers.forward(request, connection, head)
@@ -285,6 +293,21 @@
         request.failure_answer = Answer(head.status, body, headers)
         return Outcome.FAILED
 
+    async def _withhold(
+        self, request: RelayedRequest, connection: UpstreamConnection, head: AnswerHead
+    ) -> Outcome:
+        """Discard an answer whose status would promise that the request hasn't run."""
+        async for _ in connection.pieces():
+            pass
+        request.on_attempt_failed(
+            request.choice.upstream.id,
+            f"its answer is {head.status}, which doesn't state that it hasn't run",
+        )
+        self._record_first_byte(request)
+        if head.status >= _MIN_SERVER_ERROR_STATUS:
+            return Outcome.FAILED
+        return Outcome.WITHHELD
+
     async def _discard_failure(
         self,
         request: RelayedRequest,
--- a/tests/relaying/test_promises.py
+++ b/tests/relaying/test_promises.py
@@ -126,6 +126,16 @@
     assert exchange.status == 503
 
 
+@pytest.mark.parametrize("status", [408, 429])
+async def test_upstream_with_a_status_of_its_own_stays_in_use(autojump_clock, status):
+    """Guards against a pause of an upstream that refuses one caller's requests."""
+    upstream = Upstream(status)
+    async with serving([upstream], entries=1) as world:
+        for number in range(5):
+            exchange = await world.ask("e0:1", numbered("/unsafe/1", number))
+            assert (exchange.status, upstream.runs) == (502, number + 1)
+
+
 async def test_log_tells_who_gave_a_status(autojump_clock, monkeypatch):
     events = []
     monkeypatch.setattr(logging, "info", lambda text, *values: events.extend(values))
