Mark the refusals of forwarded requests, and trust no status for them

Cause: a host that forwarded a request took 408, 429 and 503 of the other host for its refusal. That host passes an upstream's status on too: for repeatable requests on purpose, and by its own version of the routes, which may be another one. So the first host could promise what the other one didn't mean, and refunded the quota of requests that had run.

Change: a host marks the answers by which it refuses a forwarded request itself. Without the mark, such a status counts as "may have run": 502 for requests that mustn't run twice, unchanged for others. The mark is taken out of upstreams' answers and of what callers get.

The peer in test_promise_is_passed_on_only_if_it_is_true stands for a host that refuses, so it sets the mark now; its assertions are as they were, and one was added.

--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -20,7 +20,7 @@
 from pepperstep.relay.counts import RunCounts
 from pepperstep.relay.crash_guard import CrashGuard
 from pepperstep.relay.pools import Pools
-from pepperstep.relay.promises import is_promise
+from pepperstep.relay.promises import is_promise, without_mark
 from pepperstep.relay.relayed_request import RelayedRequest
 from pepperstep.relay.selector import Selector
 from pepperstep.relay.signals import AnswerSignals
@@ -180,6 +180,8 @@
                 self._request_head(request, upstream), request.exchange.body
             )
             head, facts = await self._find_answer(request, connection, head)
+            if request.is_forwarded:
+                head = without_mark(head)
             request.framing, request.upstream_status = head.framing, head.status
             request.states_not_run = facts.was_refused
             self._pools.set_keep_alive(upstream.key, facts.keep_seconds)
--- a/src/pepperstep/relay/peer_forwarding.py
+++ b/src/pepperstep/relay/peer_forwarding.py
@@ -31,6 +31,7 @@
 from pepperstep.ports.relaying import RelayWire
 from pepperstep.relay.answers import AnswerForwarder, is_event_stream
 from pepperstep.relay.attempt import Outcome
+from pepperstep.relay.promises import has_mark, is_promise, without_mark
 from pepperstep.relay.relayed_request import RelayedRequest
 
 __all__ = ["Declined", "ForwardedRequests", "PeerForwarder"]
@@ -49,8 +50,6 @@
 _UNREACHED_VERSION = 2**63 - 1
 # Status with which a host declines a forwarded request, which it hasn't run then.
 _DECLINED_STATUS = 421
-# Further statuses which promise that the request hasn't run.
-_NOT_RUN_STATUSES = frozenset((408, 429, 503))
 # Hosts that a request is forwarded to, one after the other, until one accepts it.
 _MAX_HOSTS = 4
 # Pause for a service after a host declined its requests or no host accepted one, and
@@ -161,16 +160,17 @@
             self._pause(host, request.service.name, _DECLINED_PAUSE_SECONDS)
             self._record(request, host, head.status, Outcome.NOT_RUN)
             return Outcome.NOT_RUN
-        is_promise = head.status in _NOT_RUN_STATUSES
+        was_refused = has_mark(head)
+        is_unproven = not was_refused and not request.route.is_repeatable
         # An upstream may have run an earlier attempt, and a stream may have begun.
-        contradicts = is_promise and request.may_have_run
+        contradicts = is_promise(head.status) and (request.may_have_run or is_unproven)
         contradicts |= request.exchange.has_begun and not is_event_stream(head)
-        request.may_have_run = request.may_have_run or not is_promise
+        request.may_have_run = request.may_have_run or not was_refused
         if contradicts:
             request.is_in_flight = False
             self._record(request, host, head.status, Outcome.FAILED)
             return Outcome.FAILED
-        await self._answers.forward(request, connection, head)
+        await self._answers.forward(request, connection, without_mark(head))
         request.is_in_flight = False
         request.is_answered = True
         request.answered_by = host
--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -16,6 +16,7 @@
 from pepperstep.relay.crash_guard import CrashGuard
 from pepperstep.relay.peer_forwarding import Declined, PeerForwarder
 from pepperstep.relay.permits import Permits
+from pepperstep.relay.promises import mark_refused
 from pepperstep.relay.quota_claims import QuotaClaims
 from pepperstep.relay.quotas import Quotas
 from pepperstep.relay.recorder import RelayRecorder
@@ -138,6 +139,8 @@
         except Failure as failure:
             self._refund_quota(request)
             answer = self._wire.write_failure(failure, facts.attempt_id)
+            if is_forwarded and failure.execution is Execution.NOT_RUN:
+                answer = mark_refused(answer)
             status = 0 if exchange.has_begun else answer.status
             name = facts.attempt_id.decode("latin-1")
             self._recorder.record_refused(exchange, name, failure, status, request)
--- a/tests/relaying/test_peer_forwarding.py
+++ b/tests/relaying/test_peer_forwarding.py
@@ -20,6 +20,7 @@
     ForwardedRequests,
     PeerForwarder,
 )
+from pepperstep.relay.promises import mark_refused
 from pepperstep.relay.relayed_request import RelayedRequest
 from tests.relaying.test_http1 import open_server
 from tests.relaying.world import request
@@ -33,6 +34,8 @@
 
     status: int = 200
     pieces: tuple[bytes, ...] = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
+    # Whether it states that it has refused the request itself.
+    refuses: bool = False
     # Whether the answer breaks off after its first piece.
     breaks: bool = False
     declines: bool = False
@@ -60,8 +63,8 @@
             self.has_lost_sender = True
             raise CallerGone
         if self.status != 200:
-            retry = ((b"retry-after", b"0.50"),)
-            await exchange.answer(Answer(self.status, b"{}", retry))
+            answer = Answer(self.status, b"{}", ((b"retry-after", b"0.50"),))
+            await exchange.answer(mark_refused(answer) if self.refuses else answer)
             return
         await exchange.begin(AnswerHead(200, ()), self.pieces[0])
         if self.breaks:
@@ -72,7 +75,9 @@
         await exchange.finish()
 
 
-def make_request(is_stream: bool = True) -> RelayedRequest:
+def make_request(
+    is_stream: bool = True, repetition: Repetition = Repetition.ONCE
+) -> RelayedRequest:
     """Return a caller's request with a second left."""
     now = TrioTimers(random.Random(0)).now()
     wire = PlatformWire()
@@ -82,7 +87,7 @@
         host="a.example",
         path_prefix="/stream/",
         shares=(Share("model", 1.0),),
-        repetition=Repetition.ONCE,
+        repetition=repetition,
         timeout=5.0,
         is_stream=is_stream,
     )
@@ -158,7 +163,7 @@
 
 @pytest.mark.parametrize("has_run", [False, True])
 async def test_promise_is_passed_on_only_if_it_is_true(has_run):
-    peer = Peer(status=503)
+    peer = Peer(status=503, refuses=True)
     sent = make_request()
     sent.may_have_run = has_run
     async with open_server(peer.forwarded.handle) as (address, _):
@@ -166,6 +171,22 @@
     assert outcome is (Outcome.FAILED if has_run else Outcome.ANSWERED)
     assert sent.exchange.status == (0 if has_run else 503)
     assert sent.may_have_run is has_run
+    headers = dict(sent.exchange.answer_head.headers) if not has_run else {}
+    assert not any(name.startswith(b"forwarded-") for name in headers)
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("is_repeatable", [False, True])
+async def test_status_from_another_host_alone_is_no_promise(status, is_repeatable):
+    """Guards against an upstream's status that another host has passed on."""
+    peer = Peer(status=status)
+    repetition = Repetition.REPEATABLE if is_repeatable else Repetition.ONCE
+    sent = make_request(is_stream=False, repetition=repetition)
+    async with open_server(peer.forwarded.handle) as (address, _):
+        outcome = await make_forwarder(address).forward(sent, is_admitted=False)
+    assert outcome is (Outcome.ANSWERED if is_repeatable else Outcome.FAILED)
+    assert sent.exchange.status == (status if is_repeatable else 0)
+    assert sent.may_have_run
 
 
 async def test_work_ends_when_the_caller_leaves():
--- a/tests/relaying/test_promises.py
+++ b/tests/relaying/test_promises.py
@@ -8,7 +8,7 @@
 from hypothesis import HealthCheck, Phase, given, settings, strategies as st
 from trio.testing import MockClock
 
-from pepperstep.fakes.relaying import Reply, Sent
+from pepperstep.fakes.relaying import LinkCut, Reply, Sent
 from pepperstep.observability.decisions import (
     RequestEnded,
     RequestFailed,
@@ -136,6 +136,34 @@
             assert (exchange.status, upstream.runs) == (502, number + 1)
 
 
+async def cut_off(world) -> None:
+    """Cut one of two hosts off from all upstreams, so that it forwards requests."""
+    world.connector.cut("e0:1", LinkCut.RESET)
+    await world.ask("e0:1", numbered("/safe/1", 1000))
+    await trio.sleep(1.5)
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("path", (*RUN_ONCE, *REPEATABLE))
+async def test_forwarded_request_that_ran_gets_no_promise(autojump_clock, status, path):
+    """Guards against a status that one host takes for another host's refusal."""
+    upstream = Upstream(status, (b"forwarded-refused", b"1"))
+    async with serving([upstream], entries=2) as world:
+        await cut_off(world)
+        exchange = await world.ask("e0:1", numbered(path, 1))
+    assert exchange.status == (502 if path in RUN_ONCE else status)
+
+
+@pytest.mark.parametrize("path", RUN_ONCE)
+async def test_refusal_of_a_forwarded_request_is_a_promise(autojump_clock, path):
+    """Guards against a refusal whose caller is told that its request may have run."""
+    async with serving([Upstream(503, states_not_run=True)], entries=2) as world:
+        await cut_off(world)
+        exchange = await world.ask("e0:1", numbered(path, 1))
+    assert exchange.status == 503
+    assert not exchange.answer_head.first(b"forwarded-refused")
+
+
 async def test_log_tells_who_gave_a_status(autojump_clock, monkeypatch):
     events = []
     monkeypatch.setattr(logging, "info", lambda text, *values: events.extend(values))
