Say that a call which a service answered with an error may have run

Seen: a plain service runs a call that must run only once and answers 503, 429, 409 or 408 by itself. Callers get that status without a word on execution, and clients that repeat by status, such as the openai client, sent the call again.

Cause: the promise that the client repeats only with X-Should-Retry: true was kept for this system's own errors only; answers of services had no such header.

Change: statuses of 400 and above of calls that may run only once carry X-Execution: may_have_run and X-Should-Retry: false. Status, body and repeatable calls are as before.

Result: test_status_of_a_service_that_ran_invites_no_repeat failed in its 9 cases of such calls, test_openai_client_repeats_no_call_that_a_service_ran in 4 of 4; both pass.

--- a/src/pepperstep/adapters/http_api/calls.py
+++ b/src/pepperstep/adapters/http_api/calls.py
@@ -12,7 +12,7 @@
 )
 from pepperstep.adapters.http_api.web import Call, Reply, json_reply
 from pepperstep.entities import Host, Request, RequestKind
-from pepperstep.errors import Code, Failure
+from pepperstep.errors import Code, Execution, Failure
 from pepperstep.observability.recorder import Recorder
 
 __all__ = ["CallerRoutes", "nearby_entry_hosts"]
@@ -20,6 +20,13 @@
 _WEIGHT = 1
 # Weight of hosts in other regions, which are used only if no other is reachable.
 _OTHER_REGION_WEIGHT = 0
+_FIRST_ERROR_STATUS = 400
+# Clients repeat calls on their own after some statuses unless headers say otherwise.
+# A service that has run a call may answer with any status.
+_NO_REPEAT = (
+    (b"x-execution", Execution.MAY_HAVE_RUN.encode()),
+    (b"x-should-retry", b"false"),
+)
 
 
 class EntryHost(msgspec.Struct):
@@ -93,6 +100,8 @@
         _, outcome = await self._answers.read_whole(call, request.workspace, latencies)
         answer = outcome.service
         headers = ((b"x-request-id", run.id.encode()),)
+        if answer.status >= _FIRST_ERROR_STATUS and not request.is_repeatable:
+            headers += _NO_REPEAT
         return Reply(answer.status, answer.body, answer.content_type, headers)
 
     async def handle_request(self, call: Call) -> Reply | None:
--- a/tests/api/fake_node.py
+++ b/tests/api/fake_node.py
@@ -96,6 +96,12 @@
         """Return a document's text."""
         return self.texts.get(document, "")
 
+    def set_service_repeatable(self, is_repeatable: bool) -> None:
+        """Set whether calls of the plain service may run twice."""
+        text = str(is_repeatable).lower()
+        self.texts[BASE] = f"{BASE_TEXT}is_repeatable = {text}\n"
+        self._refresh(self.current.revision + 1)
+
     async def apply_change(self, change: Change, timeout: float) -> ChangeAnswer:
         """Accept a change based on the current revision; refuse others as conflicts."""
         self.changes.append(change)
@@ -115,6 +121,8 @@
     timers: FakeTimers
     outcome: Outcome = field(default_factory=lambda: Outcome(finish="stop"))
     refusal: Failure | None = None
+    # Status of plain services' answers.
+    service_status: int = 201
     # Number of tokens after which the stream fails or hangs.
     fails_after: int | None = None
     hangs_after: int | None = None
@@ -150,7 +158,7 @@
             if not found:
                 raise Failure(Code.UNKNOWN_REQUEST, "No host knows it.")
             if found[0].kind is RequestKind.SERVICE:
-                answer = ServiceAnswer(201, "text/plain", found[0].body)
+                answer = ServiceAnswer(self.service_status, "text/plain", found[0].body)
                 yield AnswerPart(0, [], Outcome(service=answer))
                 return
             for index in range(position, len(ANSWER)):
--- a/tests/api/test_callers.py
+++ b/tests/api/test_callers.py
@@ -107,6 +107,21 @@
     assert request.deadline == pytest.approx(node.timers.wall() + 5, abs=1)
 
 
+@pytest.mark.parametrize("status", [400, 408, 409, 421, 429, 500, 502, 503, 504])
+@pytest.mark.parametrize("is_repeatable", [False, True])
+async def test_status_of_a_service_that_ran_invites_no_repeat(
+    autojump_clock, status, is_repeatable
+):
+    """Guards against clients that repeat a call on their own for its status."""
+    node = FakeNode()
+    node.requests.service_status = status
+    node.store.set_service_repeatable(is_repeatable)
+    answer = await ask(node.api(), "POST", "/services/venue-desk/x", b"chart")
+    assert (answer.status, answer.body) == (status, b"chart")
+    headers = (answer.headers.get("x-execution"), answer.headers.get("x-should-retry"))
+    assert headers == ((None, None) if is_repeatable else ("may_have_run", "false"))
+
+
 async def test_hosts_models_health_and_metrics(autojump_clock):
     node = FakeNode()
     hosts = (await ask(node.api(), "GET", "/v1/entry-hosts")).json
--- a/tests/api/test_server.py
+++ b/tests/api/test_server.py
@@ -75,13 +75,13 @@
     return whole.choices[0].message.content, text, models, plain.choices[0].text
 
 
-def call_until_given_up(port: int) -> str:
-    """Return the error code of a call that the OpenAI client gives up on."""
-    url = f"http://127.0.0.1:{port}/v1"
+def call_until_given_up(port: int, path: str = "/v1") -> openai.APIStatusError:
+    """Return the error of a call that the OpenAI client gives up on."""
+    url = f"http://127.0.0.1:{port}{path}"
     client = openai.OpenAI(base_url=url, api_key=CALLER_KEY, max_retries=2)
     with pytest.raises(openai.APIStatusError) as caught:
         client.completions.create(model="zaseki-model", prompt="Seat 80 guests.")
-    return caught.value.code
+    return caught.value
 
 
 async def test_openai_client(unused_tcp_port):
@@ -103,8 +103,23 @@
 
     node.requests.submit = submit
     async with serving(node, unused_tcp_port):
-        code = await trio.to_thread.run_sync(call_until_given_up, unused_tcp_port)
-    assert (code, len(seen)) == (Code.NO_UPSTREAM, tries)
+        error = await trio.to_thread.run_sync(call_until_given_up, unused_tcp_port)
+    assert (error.code, len(seen)) == (Code.NO_UPSTREAM, tries)
+
+
+@pytest.mark.parametrize("status", [408, 409, 429, 503])
+async def test_openai_client_repeats_no_call_that_a_service_ran(
+    unused_tcp_port, status
+):
+    """Guards against calls that run once for each status of the service."""
+    node = FakeNode()
+    node.requests.service_status = status
+    path = "/services/venue-desk"
+    async with serving(node, unused_tcp_port):
+        error = await trio.to_thread.run_sync(
+            call_until_given_up, unused_tcp_port, path
+        )
+    assert (error.status_code, len(node.requests.submitted)) == (status, 1)
 
 
 async def test_large_body_is_refused_while_being_sent(unused_tcp_port):
