Take only X-Not-Run: 1 for a service's statement that a call hasn't run

Seen: a service that answers 503 or 429 with X-Not-Run: 0 or false has run the call. It was sent to another upstream and ran again, or its caller was told not_run.

Cause: the presence of the header counted, whatever its value. The documented statement is X-Not-Run: 1.

Change: only the value 1 counts. Answers with another one are the caller's.

Result: test_only_the_documented_statement_says_that_a_call_has_not_run failed in 8 of 8 cases and passes.

--- a/src/pepperstep/adapters/http_upstreams.py
+++ b/src/pepperstep/adapters/http_upstreams.py
@@ -36,6 +36,8 @@
 _EVENT_END = b"\n\n"
 _DATA_PREFIX = b"data: "
 _JSON = ((b"content-type", b"application/json"),)
+# Value of the header with which a service states that it has not run a call.
+_NOT_RUN = "1"
 # Statuses which guarantee that the upstream didn't run the request.
 _REFUSALS = frozenset({401, 404, 409, 429, 503})
 
@@ -149,7 +151,7 @@
             echoed = _header(response, b"x-attempt-id")
             if echoed and echoed != attempt_id:
                 raise UpstreamLost(f"Answer of {echoed} came to {attempt_id}.")
-            if _header(response, b"x-not-run"):
+            if _header(response, b"x-not-run") == _NOT_RUN:
                 raise await _read_error(response)
             body = await _read_whole(response)
             content_type = _header(response, b"content-type")
--- a/tests/fuzz/test_answers.py
+++ b/tests/fuzz/test_answers.py
@@ -298,6 +298,22 @@
     assert type(error) is expected
 
 
+@pytest.mark.parametrize("value", [b"0", b"false", b"2", b"1, 0"])
+@pytest.mark.parametrize("status", [429, 503])
+def test_only_the_documented_statement_says_that_a_call_has_not_run(value, status):
+    """Guards against a second run of a call whose service denies a refusal."""
+    head = b"HTTP/1.1 %d X\r\nX-Not-Run: %s\r\nContent-Length: 0\r\n\r\n"
+    client = HttpUpstreams("key")
+    client._backend = Answering([head % (status, value)], False)
+    answers = []
+
+    async def call(client: HttpUpstreams) -> None:
+        answers.append(await client.call_service(UPSTREAM, REQUEST, "a.1"))
+
+    assert run(call, client) is None
+    assert [answer.status for answer in answers] == [status]
+
+
 @pytest.mark.parametrize("client_type", [HttpCloud, HttpWeights])
 def test_numbers_too_large_for_a_message_are_an_error(client_type):
     client = client_type("http://10.0.0.1:80")
