Take no answer that came before its request

Seen: an upstream sends a refusal behind a whole answer. The next call on that connection was told refused although the upstream received it and ran it; it was tried elsewhere and ran again. A late confirmation of a cancel was taken for the end of another attempt that still ran.

Cause: httpcore keeps bytes behind an answer and reads the next answer from them. Refusals of engines and confirmations carry no attempt's id, and services need not send it back.

Change: an answer for which nothing was read since its request was written counts as lost, so it may have run, and its connection is closed.

An answer that comes between the check of the connection and the request is still not told apart.

--- a/src/pepperstep/adapters/http_upstreams.py
+++ b/src/pepperstep/adapters/http_upstreams.py
@@ -9,7 +9,11 @@
 import msgspec
 import trio
 
-from pepperstep.adapters.paced_network import PacedBackend, read_period_for
+from pepperstep.adapters.paced_network import (
+    NOTHING_READ,
+    PacedBackend,
+    read_period_for,
+)
 from pepperstep.adapters.upstream_connections import UpstreamConnections
 from pepperstep.entities import ModelKey, Request, Role, ServiceAnswer, Upstream
 from pepperstep.ports.upstreams import (
@@ -233,6 +237,7 @@
         """Send a request; map httpcore's errors in the block to those of the port."""
         connections = self._get_connections(upstream)
         async with _map_errors(), connections.stream(request) as response:
+            _check_order(response)
             yield response
 
 
@@ -258,6 +263,15 @@
         raise UpstreamLost(f"Connection lost: {type(error).__name__}.") from error
 
 
+def _check_order(response: httpcore.Response) -> None:
+    """Raise `UpstreamLost` if the answer was received before the request was sent.
+
+    httpcore keeps what an upstream sends behind an answer for the next request.
+    """
+    if response.extensions["network_stream"].get_extra_info(NOTHING_READ):
+        raise UpstreamLost("An answer came before its request.")
+
+
 async def _read_error(response: httpcore.Response) -> UpstreamRefused | UpstreamLost:
     body = await _read_whole(response)
     text = f"Status {response.status}: {body[:200].decode(errors='replace')}"
--- a/src/pepperstep/adapters/paced_network.py
+++ b/src/pepperstep/adapters/paced_network.py
@@ -14,7 +14,10 @@
 import httpcore
 import trio
 
-__all__ = ["PacedBackend", "read_period_for"]
+__all__ = ["NOTHING_READ", "PacedBackend", "read_period_for"]
+
+# Metadata of a connection: whether nothing was read since the last write.
+NOTHING_READ = "nothing_read"
 
 # Interval of the shared clock. The time between tokens is rounded up to a multiple of
 # the read period; two ticks stay a few milliseconds below the target of 53 ms.
@@ -64,6 +67,7 @@
     def __init__(self, stream: trio.abc.Stream):
         self._stream = stream
         self.period = 0.0
+        self._has_read = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return the received data, b"" at the end of the stream.
@@ -71,6 +75,7 @@
         `timeout` applies only while `period` is 0. The reader of a paced stream
         detects silence with one cancel scope for all reads, which costs less.
         """
+        self._has_read = True
         try:
             if self.period:
                 await self._wait_for_tick()
@@ -85,6 +90,7 @@
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send all of `buffer`."""
         self.period = 0.0
+        self._has_read = False
         if not buffer:
             return
         try:
@@ -127,6 +133,8 @@
             return self._stream
         if info == "is_readable":
             return self._is_readable()
+        if info == NOTHING_READ:
+            return not self._has_read
         return None
 
     def _is_readable(self) -> bool:
