Tell of no earlier request that it hasn't run without knowing it

Seen: DELETE of a request that no host knows any longer, or whose owner didn't answer in time, was refused with not_run; so was a read or a cancel at a host that has no configuration yet, there even with X-Should-Retry: true. The request was accepted earlier and may have run. By OPERATING.md callers may send anything again after not_run.

Cause: the default of Failure, which is meant for calls that were never sent on. Reads of unknown requests did say may_have_run already.

Change: these refusals of calls about an accepted request say may_have_run. The list of bad calls expected not_run for the cancel of an unknown request; that entry is now a test of its own with may_have_run, all other checks the same.

--- a/src/pepperstep/adapters/http_api/calls.py
+++ b/src/pepperstep/adapters/http_api/calls.py
@@ -106,7 +106,12 @@
 
     async def handle_request(self, call: Call) -> Reply | None:
         """Answer `/v1/requests/ID/events`, or a DELETE of `/v1/requests/ID`."""
-        caller = self._request_reader.authenticate(call)
+        try:
+            caller = self._request_reader.authenticate(call)
+        except Failure as failure:
+            # The request was accepted earlier, maybe by another host.
+            failure.execution = Execution.MAY_HAVE_RUN
+            raise
         request_id, _, rest = call.path.removeprefix("/v1/requests/").partition("/")
         if (call.method, rest) == ("GET", "events"):
             await self._resume(call, request_id, caller.workspace)
@@ -119,7 +124,11 @@
     async def _cancel(self, request_id: str, workspace: str) -> Reply:
         parse_request_kind(request_id)
         if not await self._node.requests.cancel(request_id, workspace):
-            raise Failure(Code.UNKNOWN_REQUEST, f"No host knows {request_id[:200]}.")
+            raise Failure(
+                Code.UNKNOWN_REQUEST,
+                f"No host knows {request_id[:200]}.",
+                execution=Execution.MAY_HAVE_RUN,
+            )
         return json_reply({"id": request_id, "is_cancelled": True})
 
     async def _resume(self, call: Call, request_id: str, workspace: str) -> None:
--- a/tests/api/test_callers.py
+++ b/tests/api/test_callers.py
@@ -235,7 +235,6 @@
     ("GET", "/v1/requests/entry-0.cmpl-1/events", {}, Code.UNKNOWN_REQUEST),
     ("GET", "/v1/requests/junk/events", {}, Code.UNKNOWN_REQUEST),
     ("DELETE", "/v1/requests/junk", {}, Code.UNKNOWN_REQUEST),
-    ("DELETE", "/v1/requests/entry-0.cmpl-1", {}, Code.UNKNOWN_REQUEST),
     ("GET", "/v1/requests/entry-0.call-1/events", {}, Code.INVALID_REQUEST),
     (
         "GET",
@@ -251,13 +250,44 @@
     await assert_refused(method, path, b"", headers, code)
 
 
-async def assert_refused(method, path, body, headers, code):
+async def test_cancel_of_an_unknown_request_does_not_tell_that_it_has_not_run(
+    autojump_clock,
+):
+    """Guards against a second run of a request that no host knows any longer."""
+    path = "/v1/requests/entry-0.cmpl-1"
+    code = Code.UNKNOWN_REQUEST
+    await assert_refused("DELETE", path, b"", {}, code, execution="may_have_run")
+
+
+@pytest.mark.parametrize(
+    ("method", "suffix"), [("GET", "/events"), ("DELETE", "")], ids=["read", "cancel"]
+)
+@pytest.mark.parametrize(
+    ("is_configured", "key", "code"),
+    [(False, CALLER_KEY, Code.NOT_READY), (True, "wrong", Code.UNAUTHORIZED)],
+)
+async def test_host_that_reads_no_request_does_not_tell_that_it_has_not_run(
+    autojump_clock, method, suffix, is_configured, key, code
+):
+    """Guards against a second run of a request whose reader asks a starting host."""
+    node = FakeNode()
+    first = await ask(node.api(), "POST", PROMPT_PATH, PROMPT)
+    node.is_configured = is_configured
+    path = f"/v1/requests/{first.headers['x-request-id']}{suffix}"
+    answer = await ask(node.api(), method, path, key=key)
+    assert answer.code == code
+    assert answer.json["error"]["execution"] == "may_have_run"
+    assert answer.headers["x-execution"] == "may_have_run"
+    assert answer.headers["x-should-retry"] == "false"
+
+
+async def assert_refused(method, path, body, headers, code, execution="not_run"):
     """Check that a call is refused at once and that the host still serves others."""
     node = FakeNode()
     started = trio.current_time()
     answer = await ask(node.api(), method, path, body, headers=headers)
     assert (answer.code, answer.status >= 400) == (code, True)
-    assert answer.json["error"]["execution"] == "not_run"
+    assert answer.json["error"]["execution"] == execution
     assert answer.headers["x-should-retry"] == "false"
     assert node.requests.submitted == []
     assert f'pepperstep_refusals_total{{code="{code}"}} 1.0' in (
