Let a later owner refuse only what nobody else can run

Seen: an owner that took over a request without a key loses its quorum before it has the claim. It told its readers not_run at once. Its backup host took the request over and ran it for the next reader.

Cause: without a key a refusal counted as safe, since nobody knows the id of a request that is refused before it is accepted. After a takeover callers know it.

--- a/src/pepperstep/requests/acceptance.py
+++ b/src/pepperstep/requests/acceptance.py
@@ -100,11 +100,12 @@
         """End a run that won't be executed and return the failure for its caller.
 
         If a backup may have a copy of the run but not the refusal, it could take over
-        and execute the run for a caller with the same key. The failure then says that
-        the request may have run.
+        and execute the run for a caller with the same key, or with the id of a request
+        that was accepted earlier. The failure then says that the request may have run.
         """
         run.outcome = _failed_outcome(failure)
-        is_safe = not run.request.idempotency_key or not self._journal.is_sent(run)
+        is_known = bool(run.request.idempotency_key) or run.epoch > 1
+        is_safe = not is_known or not self._journal.is_sent(run)
         if not is_safe:
             with self._timers.move_on_after(_REFUSAL_TIMEOUT_SECONDS):
                 is_safe = await self._journal.confirm(run)
--- a/tests/requests/test_once.py
+++ b/tests/requests/test_once.py
@@ -195,3 +195,30 @@
         retry = hosts.quote(OTHER, 0, id="entry-1.9")
         assert result_of(await hosts.outcome_of(OTHER, retry)) == ANSWERED
         assert hosts.runs_of(retry) == 1
+
+
+async def test_refusal_by_a_cut_off_owner_is_no_promise(autojump_clock):
+    """Guards against "not run" for a request that a later owner runs."""
+    async with Hosts.start(count=4) as hosts:
+        hosts.log.has_quorum = False
+        quote = hosts.quote(OWNER, idempotency_key="")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(hosts.outcome_of, OWNER, quote)
+            await trio.sleep(1)
+            nursery.cancel_scope.cancel()
+        hosts.fail_host(OWNER)
+        hosts.log.has_quorum = True
+        await trio.sleep(2)
+        new_owner = hosts.owner_of(quote.id)
+        hosts.log.has_quorum = False
+        hosts.network.isolate(new_owner)
+        _, refusal = await hosts.read(new_owner, quote.id)
+        hosts.fail_host(new_owner)
+        hosts.network.heal()
+        hosts.log.has_quorum = True
+        await trio.sleep(1)
+        reader = next(iter(hosts.all))
+        _, outcome = await hosts.read(reader, quote.id)
+        assert (result_of(outcome), hosts.runs_of(quote)) == (ANSWERED, 1)
+        assert refusal.code is Code.NO_QUORUM
+        assert refusal.execution is Execution.MAY_HAVE_RUN
