--- a/src/pepperstep/adapters/http_api/calls.py
+++ b/src/pepperstep/adapters/http_api/calls.py
@@ -12,7 +12,7 @@
 )
 from pepperstep.adapters.http_api.web import Call, Reply, json_reply
 from pepperstep.entities import Host, Request, RequestKind
-from pepperstep.errors import Code, Failure
+from pepperstep.errors import Code, Execution, Failure
 from pepperstep.observability.recorder import Recorder
 
 __all__ = ["CallerRoutes", "nearby_entry_hosts"]
@@ -20,6 +20,13 @@
 _WEIGHT = 1
 # Weight of hosts in other regions, which are used only if no other is reachable.
 _OTHER_REGION_WEIGHT = 0
+_FIRST_ERROR_STATUS = 400
+# Clients repeat calls on their own after some statuses unless headers say otherwise.
+# A service that has run a call may answer with any status.
+_NO_REPEAT = (
+    (b"x-execution", Execution.MAY_HAVE_RUN.encode()),
+    (b"x-should-retry", b"false"),
+)
 
 
 class EntryHost(msgspec.Struct):
@@ -93,11 +100,18 @@
         _, outcome = await self._answers.read_whole(call, request.workspace, latencies)
         answer = outcome.service
         headers = ((b"x-request-id", run.id.encode()),)
+        if answer.status >= _FIRST_ERROR_STATUS and not request.is_repeatable:
+            headers += _NO_REPEAT
         return Reply(answer.status, answer.body, answer.content_type, headers)
 
     async def handle_request(self, call: Call) -> Reply | None:
         """Answer `/v1/requests/ID/events`, or a DELETE of `/v1/requests/ID`."""
-        caller = self._request_reader.authenticate(call)
+        try:
+            caller = self._request_reader.authenticate(call)
+        except Failure as failure:
+            # The request was accepted earlier, maybe by another host.
+            failure.execution = Execution.MAY_HAVE_RUN
+            raise
         request_id, _, rest = call.path.removeprefix("/v1/requests/").partition("/")
         if (call.method, rest) == ("GET", "events"):
             await self._resume(call, request_id, caller.workspace)
@@ -110,7 +124,11 @@
     async def _cancel(self, request_id: str, workspace: str) -> Reply:
         parse_request_kind(request_id)
         if not await self._node.requests.cancel(request_id, workspace):
-            raise Failure(Code.UNKNOWN_REQUEST, f"No host knows {request_id[:200]}.")
+            raise Failure(
+                Code.UNKNOWN_REQUEST,
+                f"No host knows {request_id[:200]}.",
+                execution=Execution.MAY_HAVE_RUN,
+            )
         return json_reply({"id": request_id, "is_cancelled": True})
 
     async def _resume(self, call: Call, request_id: str, workspace: str) -> None:
--- a/src/pepperstep/adapters/http_upstreams.py
+++ b/src/pepperstep/adapters/http_upstreams.py
@@ -9,7 +9,11 @@
 import msgspec
 import trio
 
-from pepperstep.adapters.paced_network import PacedBackend, read_period_for
+from pepperstep.adapters.paced_network import (
+    NOTHING_READ,
+    PacedBackend,
+    read_period_for,
+)
 from pepperstep.adapters.upstream_connections import UpstreamConnections
 from pepperstep.entities import ModelKey, Request, Role, ServiceAnswer, Upstream
 from pepperstep.ports.upstreams import (
@@ -36,6 +40,8 @@
 _EVENT_END = b"\n\n"
 _DATA_PREFIX = b"data: "
 _JSON = ((b"content-type", b"application/json"),)
+# Value of the header with which a service states that it has not run a call.
+_NOT_RUN = "1"
 # Statuses which guarantee that the upstream didn't run the request.
 _REFUSALS = frozenset({401, 404, 409, 429, 503})
 
@@ -149,7 +155,7 @@
             echoed = _header(response, b"x-attempt-id")
             if echoed and echoed != attempt_id:
                 raise UpstreamLost(f"Answer of {echoed} came to {attempt_id}.")
-            if _header(response, b"x-not-run"):
+            if _header(response, b"x-not-run") == _NOT_RUN:
                 raise await _read_error(response)
             body = await _read_whole(response)
             content_type = _header(response, b"content-type")
@@ -231,6 +237,7 @@
         """Send a request; map httpcore's errors in the block to those of the port."""
         connections = self._get_connections(upstream)
         async with _map_errors(), connections.stream(request) as response:
+            _check_order(response)
             yield response
 
 
@@ -256,6 +263,15 @@
         raise UpstreamLost(f"Connection lost: {type(error).__name__}.") from error
 
 
+def _check_order(response: httpcore.Response) -> None:
+    """Raise `UpstreamLost` if the answer was received before the request was sent.
+
+    httpcore keeps what an upstream sends behind an answer for the next request.
+    """
+    if response.extensions["network_stream"].get_extra_info(NOTHING_READ):
+        raise UpstreamLost("An answer came before its request.")
+
+
 async def _read_error(response: httpcore.Response) -> UpstreamRefused | UpstreamLost:
     body = await _read_whole(response)
     text = f"Status {response.status}: {body[:200].decode(errors='replace')}"
