Keep the promise of a refusal whose body is cut or late

Callers of requests that run once got 502 or 504 for a request that an upstream had refused in its head, if the refusal's body then broke off or came after the deadline. They may not repeat it after these statuses.

Cause: an attempt counted as in flight until the whole body was read, and a break inside the body as a break of the request.

The head now ends the attempt: the request isn't in flight any more, and a body that breaks off or takes over 0.1 s closes the connection only. The next attempt then begins at once.

--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -33,6 +33,9 @@
 # that sends more answers nothing that it is asked.
 _MAX_LATE_ANSWERS = 64
 _MIN_SERVER_ERROR_STATUS = 500
+# Time for the body of a refusal, which upstreams send with its head. A new connection
+# costs less than a longer wait.
+_REFUSAL_BODY_SECONDS = 0.1
 # Status of the only refusals that echo no id: the upstream has found none in the
 # request.
 _UNIDENTIFIED_STATUS = 400
@@ -274,14 +277,31 @@
         head: AnswerHead,
         facts: AnswerFacts,
     ) -> Outcome:
-        async for _ in connection.pieces():
-            pass
+        # The head alone states the refusal.
+        request.is_in_flight = False
+        await self._discard_refusal(request, connection)
         request.on_attempt_failed(upstream.id, f"refused with {head.status}")
         if facts.other_upstream and facts.other_upstream != upstream.id:
             # Another upstream has taken over the address.
             self._catalog.mark_gone(upstream.id, upstream.incarnation, _SOURCE_ANSWER)
         return Outcome.NOT_RUN
 
+    async def _discard_refusal(
+        self, request: RelayedRequest, connection: UpstreamConnection
+    ) -> None:
+        """Discard a refusal's body; close the connection if the body is late or cut."""
+        reason = "it is late"
+        with self._timers.move_on_after(_REFUSAL_BODY_SECONDS):
+            try:
+                async for _ in connection.pieces():
+                    pass
+            except ConnectionFault as fault:
+                reason = fault.text
+            else:
+                return
+        connection.close()
+        logging.info("relay: %s: cut a refusal's body: %s", request.name, reason)
+
     async def _store_failure(
         self, request: RelayedRequest, connection: UpstreamConnection, head: AnswerHead
     ) -> Outcome:
--- a/tests/relaying/test_promises.py
+++ b/tests/relaying/test_promises.py
@@ -126,6 +126,23 @@
     assert exchange.status == 503
 
 
+@pytest.mark.parametrize("cut", [{"breaks": True}, {"pause": 30.0}])
+@pytest.mark.parametrize("path", RUN_ONCE)
+async def test_refusal_is_a_promise_although_its_body_is_cut(autojump_clock, cut, path):
+    """Guards against a caller that can't repeat a request which was refused."""
+
+    def refuse(sent: Sent) -> Reply:
+        headers = ((ID, sent.head.first(ID)), SEAL, NOT_EXECUTED)
+        return Reply(AnswerHead(503, headers), (b"busy\n",), **cut)
+
+    async with serving([Upstream(503)], entries=1) as world:
+        for service in ("plain0:80", "model0:80"):
+            world.connector.scripts[service] = refuse
+        exchange = await world.ask("e0:1", request(path))
+    assert exchange.status == 503
+    assert not exchange.answer_head.first(SEAL[0])
+
+
 @pytest.mark.parametrize("status", [408, 429])
 async def test_upstream_with_a_status_of_its_own_stays_in_use(autojump_clock, status):
     """Guards against a pause of an upstream that refuses one caller's requests."""
