Don't reset the connection behind a failure that was sent

Callers of safe requests could get an upstream's whole 500 and then a reset of their connection, with which the answer may be lost. The request was also logged as refused.

Cause: a host that learned during the attempt that it is cut off forwards the request. If the other host refused it or broke off, the host sent the stored failure, and then tried to finish the request once more, which takes an answer that has begun for a broken one.

A request that has been answered is now left as it is.

--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -347,16 +347,17 @@
         return self._contact.is_cut_off_from(request.service.name)
 
     async def _forward(self, request: RelayedRequest, *, is_admitted: bool) -> bool:
-        """Return whether another entry host has answered the request.
+        """Let another entry host serve the request; return whether it's answered.
 
-        Raise `Failure` if it broke off and may have run the request.
+        If that host broke off and may have run the request, send an upstream's error
+        answer, or raise `Failure` without one.
         """
         outcome = await self._forwarder.forward(request, is_admitted=is_admitted)
         if outcome is Outcome.FAILED:
             await self._finish_unanswered(request)
         if outcome is Outcome.ANSWERED:
             self._refund_quota(request)
-        return outcome is Outcome.ANSWERED
+        return request.is_answered
 
     def _spend_retry(self, request: RelayedRequest) -> bool:
         """Spend a retry from the budget; return False if it's exhausted."""
--- a/tests/relaying/test_promises.py
+++ b/tests/relaying/test_promises.py
@@ -181,6 +181,31 @@
     assert not exchange.answer_head.first(b"forwarded-refused")
 
 
+async def test_failure_that_was_sent_is_not_cut_off(autojump_clock):
+    """Guards against a reset behind a whole answer, which callers may lose then.
+
+    The host learns during the attempt that it's cut off, and the host that it forwards
+    the request to refuses it.
+    """
+
+    def fail(sent: Sent) -> Reply:
+        refused = sent.host != "e0:1"
+        stated = (NOT_EXECUTED,) if refused else ()
+        head = AnswerHead(500, ((ID, sent.head.first(ID)), SEAL, *stated))
+        return Reply(head, (b"busy\n",), delay=0.0 if refused else 0.8)
+
+    async with serving([Upstream(200)], entries=2) as world:
+        await world.ask("e0:1", numbered("/safe/1", 1))
+        world.connector.scripts["plain0:80"] = fail
+        world.connector.cut("e0:1", LinkCut.REFUSE_NEW)
+        async with trio.open_nursery() as nursery:
+            # It needs a new connection.
+            nursery.start_soon(world.ask, "e0:1", numbered("/safe/1", 2))
+            exchange = await world.ask("e0:1", numbered("/safe/1", 3))
+    assert exchange.status == 500
+    assert exchange.is_complete and not exchange.is_aborted
+
+
 async def test_log_tells_who_gave_a_status(autojump_clock, monkeypatch):
     events = []
     monkeypatch.setattr(logging, "info", lambda text, *values: events.extend(values))
