--- a/tests/relaying/test_promises.py
+++ b/tests/relaying/test_promises.py
@@ -126,6 +126,23 @@
     assert exchange.status == 503
 
 
+@pytest.mark.parametrize("cut", [{"breaks": True}, {"pause": 30.0}])
+@pytest.mark.parametrize("path", RUN_ONCE)
+async def test_refusal_is_a_promise_although_its_body_is_cut(autojump_clock, cut, path):
+    """Guards against a caller that can't repeat a request which was refused."""
+
+    def refuse(sent: Sent) -> Reply:
+        headers = ((ID, sent.head.first(ID)), SEAL, NOT_EXECUTED)
+        return Reply(AnswerHead(503, headers), (b"busy\n",), **cut)
+
+    async with serving([Upstream(503)], entries=1) as world:
+        for service in ("plain0:80", "model0:80"):
+            world.connector.scripts[service] = refuse
+        exchange = await world.ask("e0:1", request(path))
+    assert exchange.status == 503
+    assert not exchange.answer_head.first(SEAL[0])
+
+
 @pytest.mark.parametrize("status", [408, 429])
 async def test_upstream_with_a_status_of_its_own_stays_in_use(autojump_clock, status):
     """Guards against a pause of an upstream that refuses one caller's requests."""
@@ -164,6 +181,31 @@
     assert not exchange.answer_head.first(b"forwarded-refused")
 
 
+async def test_failure_that_was_sent_is_not_cut_off(autojump_clock):
+    """Guards against a reset behind a whole answer, which callers may lose then.
+
+    The host learns during the attempt that it's cut off, and the host that it forwards
+    the request to refuses it.
+    """
+
+    def fail(sent: Sent) -> Reply:
+        refused = sent.host != "e0:1"
+        stated = (NOT_EXECUTED,) if refused else ()
+        head = AnswerHead(500, ((ID, sent.head.first(ID)), SEAL, *stated))
+        return Reply(head, (b"busy\n",), delay=0.0 if refused else 0.8)
+
+    async with serving([Upstream(200)], entries=2) as world:
+        await world.ask("e0:1", numbered("/safe/1", 1))
+        world.connector.scripts["plain0:80"] = fail
+        world.connector.cut("e0:1", LinkCut.REFUSE_NEW)
+        async with trio.open_nursery() as nursery:
+            # It needs a new connection.
+            nursery.start_soon(world.ask, "e0:1", numbered("/safe/1", 2))
+            exchange = await world.ask("e0:1", numbered("/safe/1", 3))
+    assert exchange.status == 500
+    assert exchange.is_complete and not exchange.is_aborted
+
+
 async def test_log_tells_who_gave_a_status(autojump_clock, monkeypatch):
     events = []
     monkeypatch.setattr(logging, "info", lambda text, *values: events.extend(values))
