Send failures of HEAD requests without a body

What callers saw: a reset connection in place of any failure of this system for a HEAD request: an unknown route, a refusal, and since statuses are withheld, 502 for a request that ran.

Cause: the failure's JSON body was sent behind the head, which h11 refuses for HEAD; the connection was then aborted as after a bug.

Change: a whole answer is sent without its body to HEAD.

Result: test_failure_of_a_head_request_leaves_the_connection_open failed (reset) and passes.

--- a/src/pepperstep/adapters/http1/connection.py
+++ b/src/pepperstep/adapters/http1/connection.py
@@ -36,6 +36,8 @@
 _END_ON_CLOSE = struct.pack("ii", 0, 0)
 
 _VERSION_WITHOUT_CHUNKS = b"1.0"
+# Method whose answers have no body.
+_METHOD_WITHOUT_BODY = b"HEAD"
 
 _REASONS = {
     200: b"OK",
@@ -117,11 +119,11 @@
             self._protocol.start_next_cycle()
 
     async def answer(self, answer: Answer) -> None:
-        """Send a whole answer."""
+        """Send a whole answer, without its body to a HEAD request."""
         length = (b"content-length", b"%d" % len(answer.body))
         headers = (*answer.headers, length)
         data = self._encode_head(AnswerHead(answer.status, headers))
-        if answer.body:
+        if answer.body and self._request_method != _METHOD_WITHOUT_BODY:
             data += self._protocol.send(h11.Data(answer.body))
         data += self._protocol.send(h11.EndOfMessage())
         await self._send(data)
@@ -169,9 +171,15 @@
         if self._disconnected.is_set() or self._is_hung_up():
             scope.cancel()
 
+    @property
+    def _request_method(self) -> bytes:
+        """Method of the current request, b"" before its head is read."""
+        return b"" if self.head is None else self.head.method
+
     async def _read_request(self) -> bool:
         """Read a request; return False if the connection must be closed."""
         self.has_begun = False
+        self.head = None
         self.body = b""
         if not await self._wait_first_byte():
             return False
--- a/tests/relaying/test_http1.py
+++ b/tests/relaying/test_http1.py
@@ -114,6 +114,23 @@
     assert handler.requests == [(b"/a", b"hi"), (b"/b", b"hi")]
 
 
+async def test_failure_of_a_head_request_leaves_the_connection_open():
+    """Guards against a reset in place of the answer."""
+
+    async def refuse(exchange) -> None:
+        await exchange.answer(Answer(503, b"{}"))
+
+    head = VALID_REQUEST.replace(b"POST", b"HEAD")
+    async with open_server(refuse) as (address, _):
+        host, _, port = address.partition(":")
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            for _ in range(2):
+                await stream.send_all(head)
+                received = await stream.receive_some(4_096)
+                assert received.startswith(b"HTTP/1.1 503")
+                assert received.endswith(b"\r\n\r\n")
+
+
 async def test_closing_server_sends_connection_close():
     handler = Handler()
     async with open_server(handler.handle) as (address, server):
