Take no withheld answer for a first token

Cause: withholding an answer recorded its first byte, and with it the prompt as read. Stored failures (500) don't do so.

Change: a withheld answer is counted as a run only, and its time is kept for the roll-outs' outcomes. 408 and 429, which taught the rate before too when they were passed on, don't any more on routes whose requests run once.

--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -325,7 +325,9 @@
             request.choice.upstream.id,
             f"its answer is {head.status}, which doesn't state that it hasn't run",
         )
-        self._record_first_byte(request)
+        # A failure may come before the prompt is read, so it's no first token.
+        request.first_byte_at = request.first_byte_at or self._timers.now()
+        self._count_run(request)
         if head.status >= _MIN_SERVER_ERROR_STATUS:
             return Outcome.FAILED
         return Outcome.WITHHELD
