Log and count statuses with the upstream and the caller that they belong to

Cause: "no retry budget" and other ends of attempts that weren't made were logged with the status of the attempt before, by another upstream; request_refused named the latest choice as the upstream that answered; and the counter of statuses counted a forwarded request on both hosts.

Change: a status is logged only with its own upstream, and counted by the host whose caller gets it.

Result: test_status_is_logged_with_its_own_upstream, test_refusal_names_no_upstream_that_has_not_answered and test_status_of_a_forwarded_request_is_counted_once failed and pass.

--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -186,7 +186,7 @@
     # Status sent to the caller, 0 if the answer was aborted.
     status: int = 0
     # Attempts that got a connection, and the upstream and the status of the latest
-    # answer, "" and 0 without one.
+    # one's answer, "" and 0 if it brought none.
     attempts: int = 0
     upstream: str = ""
     upstream_status: int = 0
--- a/src/pepperstep/observability/relay_metrics.py
+++ b/src/pepperstep/observability/relay_metrics.py
@@ -72,7 +72,7 @@
         )
         self._statuses = Counter(
             "pepperstep_statuses",
-            "Statuses of at least 400 that callers got, by who gave them",
+            "Statuses of at least 400 that this host's callers got, by who gave them",
             ("source", "status"),
             registry=self.registry,
         )
--- a/src/pepperstep/relay/recorder.py
+++ b/src/pepperstep/relay/recorder.py
@@ -69,6 +69,8 @@
     ) -> None:
         """Record an attempt that brought no answer for the caller."""
         self._metrics.note_failed(request.service.name)
+        # The upstream of an attempt that wasn't made hasn't answered.
+        is_tried = request.choice is not None and request.choice.upstream.id == upstream
         event = RequestFailed(
             request=request.name,
             attempt=request.attempt_count,
@@ -78,8 +80,8 @@
             after_ms=self._age_ms(request.exchange),
             content=f"{request.content:016x}" if request.may_have_run else "",
             parts=_digests_of(request) if request.may_have_run else (),
-            status=request.upstream_status,
-            states_not_run=request.states_not_run,
+            status=request.upstream_status if is_tried else 0,
+            states_not_run=request.states_not_run and is_tried,
         )
         logging.info("relay: %s", event)
 
@@ -129,7 +131,8 @@
             framing=request.framing or "",
             status=request.sent_status,
         )
-        self._metrics.note_status(StatusSource.UPSTREAM, request.sent_status)
+        if not request.is_forwarded:
+            self._metrics.note_status(StatusSource.UPSTREAM, request.sent_status)
         logging.info("relay: %s", event)
 
     def record_abandoned(self, request: RelayedRequest) -> None:
@@ -181,8 +184,9 @@
         workspace = "" if request is None else request.workspace_name
         kind = _UNKNOWN_CLASS if request is None else metric_class(request)
         self._metrics.note_refused(workspace, kind, failure.code)
-        self._metrics.note_status(StatusSource.HOST, status)
-        choice = None if request is None else request.choice
+        if request is None or not request.is_forwarded:
+            self._metrics.note_status(StatusSource.HOST, status)
+        has_answer = request is not None and request.upstream_status != 0
         event = RequestRefused(
             request=name,
             code=failure.code,
@@ -199,8 +203,8 @@
             target=truncated_target(exchange.head) if request is None else "",
             status=status,
             attempts=0 if request is None else request.attempt_count,
-            upstream="" if choice is None else choice.upstream.id,
-            upstream_status=0 if request is None else request.upstream_status,
+            upstream=request.choice.upstream.id if has_answer else "",
+            upstream_status=request.upstream_status if has_answer else 0,
         )
         logging.info("relay: %s", event)
 
--- a/tests/relaying/test_promises.py
+++ b/tests/relaying/test_promises.py
@@ -244,9 +244,21 @@
     assert exchange.is_complete and not exchange.is_aborted
 
 
-async def test_log_tells_who_gave_a_status(autojump_clock, monkeypatch):
-    events = []
-    monkeypatch.setattr(logging, "info", lambda text, *values: events.extend(values))
+@pytest.fixture
+def events(monkeypatch) -> list:
+    """Return the list of the events that are logged from now on."""
+    found = []
+    monkeypatch.setattr(logging, "info", lambda text, *values: found.extend(values))
+    return found
+
+
+def statuses_in(world, entry: str) -> list[str]:
+    """Return the lines of a host's metric of statuses."""
+    text = world.entries[entry].metrics.render().decode()
+    return [line for line in text.splitlines() if "pepperstep_statuses_total{" in line]
+
+
+async def test_log_tells_who_gave_a_status(autojump_clock, events):
     upstreams = {
         "own": Upstream(500),
         "refused": Upstream(503, states_not_run=True),
@@ -255,7 +267,7 @@
     for name, upstream in upstreams.items():
         async with serving([upstream], entries=1) as world:
             await world.ask("e0:1", request("/unsafe/1"))
-            found[name] = world.entries["e0:1"].metrics.render().decode()
+            found[name] = statuses_in(world, "e0:1")
     [failed, refusal] = [each for each in events if isinstance(each, RequestFailed)]
     assert (failed.status, failed.states_not_run) == (500, False)
     assert (refusal.status, refusal.states_not_run) == (503, True)
@@ -265,5 +277,56 @@
     assert (refused.status, refused.attempts) == (503, 1)
     assert (refused.upstream, refused.upstream_status) == ("plain0", 503)
     counter = 'pepperstep_statuses_total{source="%s",status="%d"} 1.0'
-    assert counter % ("upstream", 500) in found["own"]
-    assert counter % ("host", 503) in found["refused"]
+    assert found["own"] == [counter % ("upstream", 500)]
+    assert found["refused"] == [counter % ("host", 503)]
+
+
+async def test_log_tells_the_status_of_a_success(autojump_clock, events):
+    async with serving([Upstream(200)], entries=1) as world:
+        await world.ask("e0:1", request("/unsafe/1"))
+        assert not statuses_in(world, "e0:1")
+    [ended] = [each for each in events if isinstance(each, RequestEnded)]
+    assert ended.status == 200
+
+
+async def test_status_is_logged_with_its_own_upstream(
+    autojump_clock, events, monkeypatch
+):
+    """Guards against a line that gives an upstream the status of another one."""
+    async with serving([Upstream(500), Upstream(500)], entries=1) as world:
+        budget = world.entries["e0:1"].relay._budget
+        monkeypatch.setattr(budget, "try_spend", lambda service: False)
+        await world.ask("e0:1", request("/safe/1"))
+    failed = [each for each in events if isinstance(each, RequestFailed)]
+    assert failed[1].reason == "no retry budget"
+    assert [each.status for each in failed] == [500, 0]
+
+
+async def test_refusal_names_no_upstream_that_has_not_answered(autojump_clock, events):
+    """Guards against a status that seems to be the latest upstream's."""
+    broken, own = Upstream(200), Upstream(503, states_not_run=True)
+    broken.answer = lambda sent: Reply(None)
+    async with serving([broken], entries=1) as world:
+        await world.ask("e0:1", request("/unsafe/1"))
+    async with serving([own, broken], entries=1) as world:
+        await allow_attempts(world, 2)
+        for number in range(10):
+            await world.ask("e0:1", numbered("/unsafe/1", number))
+            await trio.sleep(10.0)
+    refused = [each for each in events if isinstance(each, RequestRefused)]
+    assert {(each.upstream, each.upstream_status) for each in refused} <= {
+        ("", 0),
+        ("plain0", 503),
+    }
+    assert (refused[0].upstream, refused[0].upstream_status) == ("", 0)
+
+
+async def test_status_of_a_forwarded_request_is_counted_once(autojump_clock):
+    """Guards against callers that seem to get each error of another host twice."""
+    async with serving([Upstream(500)], entries=2) as world:
+        await cut_off(world)
+        before = {name: statuses_in(world, name) for name in world.entries}
+        await world.ask("e0:1", numbered("/unsafe/1", 1))
+        after = {name: statuses_in(world, name) for name in world.entries}
+    assert 'pepperstep_statuses_total{source="peer",status="500"} 1.0' in after["e0:1"]
+    assert before["e1:1"] == after["e1:1"]
