Refuse a stream whose service is removed while its origin is asked for

Callers that resumed a stream lost their connection without an answer, and the host logged an unexpected error.

Cause: a resumption looks its service up in the routes of the moment, after it has asked other hosts where the stream began. New routes may have come meanwhile, without that service.

It is refused like a stream to whose service the route leads no more.

Result: the new test failed before (KeyError) and passes.

--- a/src/pepperstep/relay/resumptions.py
+++ b/src/pepperstep/relay/resumptions.py
@@ -50,10 +50,13 @@
             text = "It isn't known at which software version the stream began."
             raise _refusal(text, _RETRY_AFTER_SECONDS)
         service = request.origin.service
-        if service not in {share.service for share in request.route.shares}:
+        # The routes may have changed while the origin was asked for.
+        services = self._tables.current.services
+        shares = {share.service for share in request.route.shares}
+        if service not in shares or service not in services:
             self._recorder.record_resumption("no service")
             raise _refusal(f"The route doesn't lead to {service} any more.", None)
-        request.service = self._tables.current.services[service]
+        request.service = services[service]
 
     def check_upstreams_left(self, request: RelayedRequest) -> None:
         """Raise `Failure` if no upstream can go on with the stream of a bound request.
--- a/tests/relaying/test_stream_versions.py
+++ b/tests/relaying/test_stream_versions.py
@@ -1,5 +1,6 @@
 """Streams that are resumed while upstreams of several software versions serve."""
 
+import json
 import random
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
@@ -8,6 +9,7 @@
 import trio
 
 from pepperstep.coordination import StreamOrigin
+from pepperstep.coordination.table_updates import Document
 from pepperstep.fakes.relaying import FakeExchange, LinkCut, Reply
 from pepperstep.ports.exchange import AnswerHead, CallerGone, RequestHead
 from pepperstep.proto import coordination_pb2 as pb
@@ -573,3 +575,25 @@
             await world.entries["e0:1"].relay.handle(exchange)
             assert exchange.status == status
             await trio.sleep(30.0)
+
+
+async def test_stream_whose_service_is_removed_while_its_origin_is_asked_for(
+    autojump_clock,
+):
+    """Guards against a connection that is aborted in place of an answer."""
+    async with open_versions(entries=2) as (world, _):
+        stream = await begin_stream(world)
+        host = await world.start_entry("e9:1", SEEDS)
+        await trio.sleep(1.0)
+        # The owners answer after 0.06 s.
+        world.network.min_delay = world.network.max_delay = 0.03
+        exchange = FakeExchange(
+            resumable_request(b"later", stream), stream.body, trio.current_time()
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(host.relay.handle, exchange)
+            await trio.sleep(0.02)
+            routes = json.loads(document(2))["routes"][:2]
+            data = document(2, routes=routes, services=[{"name": "plain"}])
+            host.tables.install(Document(2, data))
+        assert exchange.status == 503
