Believe no refusal without an id for a request that has one

What callers could see: 503 for an unsafe request that ran, if its connection brought the refusal (400) of an earlier request without an id first.

Cause: a 400 with the statement and no id was believed for any request. It was meant for requests without an id, but those never come to that place: their answers are taken as they are, and their connections closed after. Upstreams echo the id that they get, so such an answer to a request with one belongs to another request.

Change: the exception is gone. An answer without an id fails an attempt that has one, as one that may have run.

--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -36,9 +36,6 @@
 # Time for the body of a refusal, which upstreams send with its head. A new connection
 # costs less than a longer wait.
 _REFUSAL_BODY_SECONDS = 0.1
-# Status of the only refusals that echo no id: the upstream has found none in the
-# request.
-_UNIDENTIFIED_STATUS = 400
 _MISDIRECTED_STATUS = 421
 # Source of the news that an upstream is gone: another one answers at its address.
 _SOURCE_ANSWER = "answer"
@@ -230,8 +227,6 @@
         skipped = 0
         while facts.attempt_id != request.facts.attempt_id:
             if not facts.attempt_id:
-                if facts.was_refused and head.status == _UNIDENTIFIED_STATUS:
-                    break
                 raise ConnectionFault("the answer names no request", True)
             skipped += 1
             if skipped > _MAX_LATE_ANSWERS:
