--- a/tests/relaying/test_promises.py
+++ b/tests/relaying/test_promises.py
@@ -29,7 +29,6 @@
 ID = b"pepperstep-attempt-id"
 SEAL = (b"pepperstep-replica-seal", b"3e1b.07")
 NOT_EXECUTED = (b"pepperstep-not-executed", b"1")
-PROMISES = (408, 421, 429, 503)
 RUN_ONCE = ("/unsafe/1", "/stream/1")
 REPEATABLE = ("/safe/1", "/resumable/1")
 
@@ -209,6 +208,27 @@
     assert exchange.status == (502 if path in RUN_ONCE else status)
 
 
+@pytest.mark.parametrize("status", [408, 429, 503])
+async def test_upstream_cannot_mark_a_refusal(autojump_clock, status):
+    """Guards against an upstream's mark, passed on by a host with other routes."""
+    upstream = Upstream(status, (b"forwarded-refused", b"1"))
+    async with serving([upstream], entries=2) as world:
+        await cut_off(world)
+        world.cut_off("e0:1")
+        table = json.loads(document(2))
+        for route in table["routes"]:
+            if route["name"] == "unsafe":
+                route["kind"] = "safe"
+        await world.put(2, json.dumps(table).encode())
+        await trio.sleep(1.0)
+        versions = [each.tables.current.version for each in world.entries.values()]
+        assert versions == [1, 2]
+        before = upstream.runs
+        exchange = await world.ask("e0:1", numbered("/unsafe/1", 1))
+    assert upstream.runs > before
+    assert exchange.status == 502
+
+
 @pytest.mark.parametrize("path", RUN_ONCE)
 async def test_refusal_of_a_forwarded_request_is_a_promise(autojump_clock, path):
     """Guards against a refusal whose caller is told that its request may have run."""
