Send no answer behind a part of another one

A caller that takes over a second to read an answer got a part of it, and the answer to its next request in place of the rest.

Cause: sending an answer ends after a second, and the connection then went on as if the whole answer had been sent.

Such a caller now counts as gone, and its connection is reset.

--- a/src/pepperstep/relay/answers.py
+++ b/src/pepperstep/relay/answers.py
@@ -7,6 +7,7 @@
 from pepperstep.ports.exchange import (
     Answer,
     AnswerHead,
+    CallerGone,
     ConnectionFault,
     Exchange,
     Framing,
@@ -101,10 +102,15 @@
 
         Without the shield, a deadline that expires during the sending would break the
         connection although the answer has arrived.
+
+        Raise `CallerGone` if the caller doesn't take it in time, so that no other
+        answer follows a part of it.
         """
         request.sent_status = answer.status
-        with trio.move_on_after(_SEND_TIMEOUT_SECONDS, shield=True):
+        with trio.move_on_after(_SEND_TIMEOUT_SECONDS, shield=True) as scope:
             await request.exchange.answer(answer)
+        if scope.cancelled_caught:
+            raise CallerGone
 
     async def _forward_piece(
         self, exchange: Exchange, head: AnswerHead, data: bytes
--- a/tests/relaying/test_broken_answers.py
+++ b/tests/relaying/test_broken_answers.py
@@ -2,7 +2,7 @@
 
 import socket
 import struct
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 import trio
@@ -10,8 +10,9 @@
 from pepperstep.adapters.http1 import Http1Connector
 from pepperstep.fakes.relaying import LinkCut, Reply
 from pepperstep.platform import PlatformWire
-from pepperstep.ports.exchange import ConnectionFault
+from pepperstep.ports.exchange import Answer, ConnectionFault
 from pepperstep.relay.answers import AnswerForwarder
+from tests.relaying.test_http1 import open_server
 from tests.relaying.test_peer_forwarding import make_request
 from tests.relaying.test_relay import EVENTS, head, serve
 from tests.relaying.world import open_world, request
@@ -216,3 +217,31 @@
         await serve(world, "model", lambda sent: Reply(head(204)))
         exchange = await world.ask("e0:1", request("/stream/1"))
         assert (exchange.status, exchange.is_complete) == (204, True)
+
+
+async def test_next_answer_is_not_sent_inside_one_that_was_cut():
+    """Guards against bytes of another answer, for callers that read slowly."""
+    body = b"x" * 20_000_000
+    forwarder = AnswerForwarder(PlatformWire(), lambda request: None)
+
+    async def handle(exchange) -> None:
+        request = make_request()
+        request.exchange = exchange
+        is_first = exchange.head.target == b"/first"
+        await forwarder.send(request, Answer(200, body if is_first else b"next"))
+
+    async with open_server(handle) as (address, _):
+        host, _, port = address.partition(":")
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            for path in (b"/first", b"/second"):
+                await stream.send_all(b"GET %s HTTP/1.1\r\nHost: h\r\n\r\n" % path)
+            await trio.sleep(1.5)
+            received = b""
+            with suppress(trio.BrokenResourceError):
+                while not received.endswith(b"next"):
+                    data = await stream.receive_some()
+                    if not data:
+                        break
+                    received += data
+    if received.endswith(b"next"):
+        assert received.count(b"x") == len(body)
