--- a/tests/relaying/test_promise_properties.py
+++ b/tests/relaying/test_promise_properties.py
@@ -320,6 +320,23 @@
     return lambda site: site.kill(name)
 
 
+def _isolate(name: str, seconds: float) -> Change:
+    async def isolate(site: Site) -> None:
+        site.world.network.isolate(name)
+        await trio.sleep(seconds)
+        site.world.network.heal()
+
+    return isolate
+
+
+def _drain(name: str) -> Change:
+    async def drain(site: Site) -> None:
+        if name in site.world.entries:
+            site.world.entries[name].leave()
+
+    return drain
+
+
 def _remove(route: str) -> Change:
     return lambda site: site.put_routes(removed=route)
 
@@ -330,6 +347,7 @@
 
 services, numbers = st.sampled_from(SERVICES), st.integers(0, UPSTREAMS - 1)
 routes = st.sampled_from(("unsafe", "stream", "resumable"))
+hosts = st.sampled_from(("e0:1", "e1:1", "c0:1", "c1:1"))
 cuts = st.builds(
     _cut,
     st.integers(0, 2),
@@ -341,7 +359,9 @@
     st.builds(_announce, services, numbers, st.sampled_from(("is_leaving", "is_gone"))),
     st.builds(_crash, services, numbers, st.booleans()),
     st.builds(_restart, services, numbers),
-    st.builds(_kill, st.sampled_from(("e0:1", "e1:1", "c0:1", "c1:1"))),
+    st.builds(_kill, hosts),
+    st.builds(_isolate, hosts, st.sampled_from((0.5, SECONDS))),
+    st.builds(_drain, hosts),
     st.builds(_remove, routes),
     st.builds(_move, routes, services),
 )
