--- a/tests/relaying/test_promise_properties.py
+++ b/tests/relaying/test_promise_properties.py
@@ -147,6 +147,7 @@
     entry: int
     route: str
     deadline_ms: int
+    # Seconds until the caller leaves, 0 if it stays.
     leaves_after: float
     plan: list[Behaviour]
 
