--- a/tests/relaying/test_promise_properties.py
+++ b/tests/relaying/test_promise_properties.py
@@ -15,6 +15,7 @@
 from hypothesis import HealthCheck, Phase, given, settings, strategies as st
 from trio.testing import MockClock
 
+from pepperstep.errors import Failure
 from pepperstep.fakes.relaying import FakeExchange, LinkCut, Reply, Sent
 from pepperstep.ports.exchange import AnswerHead, CallerGone, Header, RequestHead
 from pepperstep.scheduling import SchedulingSettings
@@ -147,6 +148,7 @@
     entry: int
     route: str
     deadline_ms: int
+    # Seconds until the caller leaves, 0 if it stays.
     leaves_after: float
     plan: list[Behaviour]
 
@@ -207,10 +209,12 @@
             await self.world.put(self.version, json.dumps(table).encode())
 
     async def announce(self, service: str, number: int, **facts) -> None:
-        """Announce an upstream at a control host that runs."""
+        """Announce an upstream at the first control host that accepts it."""
         name = f"{service}{number}"
-        host = min(self.world.controls)
-        await self.world.announce(host, name, service, **facts)
+        for host in sorted(self.world.controls):
+            with suppress(Failure):
+                await self.world.announce(host, name, service, **facts)
+                return
 
     async def start(self) -> None:
         """Start the upstreams and serve forwarded requests."""
@@ -320,6 +324,23 @@
     return lambda site: site.kill(name)
 
 
+def _isolate(name: str, seconds: float) -> Change:
+    async def isolate(site: Site) -> None:
+        site.world.network.isolate(name)
+        await trio.sleep(seconds)
+        site.world.network.heal()
+
+    return isolate
+
+
+def _drain(name: str) -> Change:
+    async def drain(site: Site) -> None:
+        if name in site.world.entries:
+            site.world.entries[name].leave()
+
+    return drain
+
+
 def _remove(route: str) -> Change:
     return lambda site: site.put_routes(removed=route)
 
@@ -330,6 +351,7 @@
 
 services, numbers = st.sampled_from(SERVICES), st.integers(0, UPSTREAMS - 1)
 routes = st.sampled_from(("unsafe", "stream", "resumable"))
+hosts = st.sampled_from(("e0:1", "e1:1", "c0:1", "c1:1"))
 cuts = st.builds(
     _cut,
     st.integers(0, 2),
@@ -341,7 +363,9 @@
     st.builds(_announce, services, numbers, st.sampled_from(("is_leaving", "is_gone"))),
     st.builds(_crash, services, numbers, st.booleans()),
     st.builds(_restart, services, numbers),
-    st.builds(_kill, st.sampled_from(("e0:1", "e1:1", "c0:1", "c1:1"))),
+    st.builds(_kill, hosts),
+    st.builds(_isolate, hosts, st.sampled_from((0.5, SECONDS))),
+    st.builds(_drain, hosts),
     st.builds(_remove, routes),
     st.builds(_move, routes, services),
 )
