Tell operators of a change or drain that may have been carried out

Seen: the tool printed a failed change alike whether it was refused or may still be committed. A drain whose confirmation was lost was refused with not_run, although the host may drain.

Cause: the tool took each error for not_run, and a call to another host has that default too.

Change: the tool reads execution and advises to resend a change by its id, as it does after a lost connection; a drain that isn't confirmed says may_have_run.

--- a/src/pepperstep/cli/server.py
+++ b/src/pepperstep/cli/server.py
@@ -19,12 +19,15 @@
 # Longer than the time for which a server waits for a quorum.
 _ANSWER_TIMEOUT_SECONDS = 15.0
 
+_RESEND_ADVICE = "A change may still have been made: resend it by its id."
+
 T = TypeVar("T")
 
 
 class _Error(msgspec.Struct):
     message: str
     code: Code = Code.INTERNAL
+    execution: Execution = Execution.MAY_HAVE_RUN
 
 
 class _ErrorBody(msgspec.Struct):
@@ -83,7 +86,8 @@
                 # Nothing was sent, so the next server may be tried.
                 reasons.append(f"{url}: {str(error) or type(error).__name__}")
                 continue
-            return _decode_answer(response, answer_type, statuses)
+            is_change = method != "GET"
+            return _decode_answer(response, answer_type, statuses, is_change)
         text = f"No server can be reached ({'; '.join(reasons)})."
         raise CommandError(
             Exit.UNREACHABLE,
@@ -115,33 +119,39 @@
             httpcore.UnsupportedProtocol,
         ) as error:
             text = f"{url} gave no answer ({type(error).__name__})."
-            advice = "A change may still have been made: resend it by its id."
-            if method == "GET":
-                advice = "Try another --server."
+            advice = "Try another --server." if method == "GET" else _RESEND_ADVICE
             raise CommandError(Exit.UNREACHABLE, f"{text} {advice}") from error
 
 
 def _decode_answer(
-    response: httpcore.Response, answer_type: type[T], statuses: Sequence[int]
+    response: httpcore.Response,
+    answer_type: type[T],
+    statuses: Sequence[int],
+    is_change: bool,
 ) -> T:
     if response.status != 200 and response.status not in statuses:
-        raise _decode_failure(response)
+        raise _decode_failure(response, is_change)
     try:
         return msgspec.json.decode(response.content, type=answer_type)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         if response.status != 200:
-            raise _decode_failure(response) from error
+            raise _decode_failure(response, is_change) from error
         text = "The server's answer can't be read; is it a pepperstep entry host?"
         raise CommandError(Exit.INTERNAL, text) from error
 
 
-def _decode_failure(response: httpcore.Response) -> Failure | CommandError:
+def _decode_failure(
+    response: httpcore.Response, is_change: bool
+) -> Failure | CommandError:
     try:
         error = msgspec.json.decode(response.content, type=_ErrorBody).error
     except (msgspec.DecodeError, UnicodeDecodeError):
         text = f"The server answered with status {response.status} and no error code;"
         return CommandError(Exit.INTERNAL, f"{text} is it a pepperstep entry host?")
-    failure = Failure(error.code, error.message, execution=Execution.NOT_RUN)
+    message = error.message
+    if is_change and error.execution is Execution.MAY_HAVE_RUN:
+        message = f"{message} {_RESEND_ADVICE}"
+    failure = Failure(error.code, message, execution=error.execution)
     if exit_code_for(failure) is Exit.REFUSED_KEY:
         text = f"{error.message} Give an operator's key by --key or $PEPPERSTEP_KEY."
         return CommandError(Exit.REFUSED_KEY, text)
--- a/src/pepperstep/operations.py
+++ b/src/pepperstep/operations.py
@@ -5,7 +5,7 @@
 from pepperstep.configuration import ConfigurationStore
 from pepperstep.consensus import Consensus, MemberStatus, RemoteAgreement
 from pepperstep.entities import Host, ModelKey, Upstream
-from pepperstep.errors import Code, Failure
+from pepperstep.errors import Code, Execution, Failure
 from pepperstep.membership import Member, Membership, MemberState, UpstreamRegistry
 from pepperstep.observability import EventLog
 from pepperstep.observability.explanations import Explanations
@@ -84,13 +84,22 @@
         ]
 
     async def drain(self, host: str) -> None:
-        """Start the drain of a host; return once the host has accepted."""
+        """Start the drain of a host; return once the host has accepted.
+
+        Raise `Failure`: `UNKNOWN_NAME`, or whatever the call to the host raises, after
+        which the drain may have started.
+        """
         if host == self._host.name:
             self._start_drain()
             return
         if self._membership.state_of(host) is None:
             raise Failure(Code.UNKNOWN_NAME, f"No host {host}.")
-        await self._peers.call(host, operations_pb2.DrainHost(), _DRAIN_TIMEOUT_SECONDS)
+        message = operations_pb2.DrainHost()
+        try:
+            await self._peers.call(host, message, _DRAIN_TIMEOUT_SECONDS)
+        except Failure as failure:
+            failure.execution = Execution.MAY_HAVE_RUN
+            raise
 
     async def _handle_drain(
         self, message: operations_pb2.DrainHost, sender: str
--- a/tests/cli/test_tool.py
+++ b/tests/cli/test_tool.py
@@ -12,7 +12,7 @@
 from pepperstep.adapters.http_api import serve_api
 from pepperstep.cli import Exit, main
 from pepperstep.configuration import ChangeAnswer, ChangeStatus, Limits
-from pepperstep.errors import Code, Failure, Finding
+from pepperstep.errors import Code, Execution, Failure, Finding
 from pepperstep.observability.explanations import StepKind
 from pepperstep.observability.views import HostView, StatusView, VoterView
 from tests.api.fake_node import BASE_TEXT, CALLER_KEY, OPERATOR_KEY, FakeNode
@@ -201,6 +201,22 @@
     assert (code, "No quorum answered." in err) == (Exit.UNAVAILABLE, True)
 
 
+@pytest.mark.parametrize("execution", Execution)
+def test_apply_tells_whether_the_change_may_have_been_made(
+    run, server, overlay, execution
+):
+    """Guards against a change that its operator takes for refused."""
+
+    async def fail(change, timeout):
+        raise Failure(Code.NO_QUORUM, "No quorum answered.", execution=execution)
+
+    server.node.store.apply_change = fail
+    code, _, err = run("apply", str(overlay))
+    assert code == Exit.UNAVAILABLE
+    is_doubtful = execution is Execution.MAY_HAVE_RUN
+    assert ("may still have been made: resend it by its id" in err) is is_doubtful
+
+
 def test_drain_and_events(run, server):
     assert run("drain", "entry-1")[0] == Exit.OK
     assert server.node.drained == ["entry-1"]
