Free no key of a request that may have run when a new owner gives its claim up

Seen: a new owner claims a request that the owner before has sent. Its claim is committed, in place of the earlier one, but it isn't told in time. It gave the claim up as not run, which freed the key. Until it claimed again, or for good if it failed in between, another request with the key was granted and could run a second time.

Cause: each claim that was given up counted as not run. That is true for what the claiming host sent, not for what an earlier owner did.

Change: whoever claims states what to record if the claim is given up: not run if nothing was sent, else may have run, or the answer of a request that ended.

Result: of 4 cases of the new test of tests/claims/test_claims.py, the 2 in which the claim is committed first failed without the statement (granted in place of held); all pass. The case was not reproduced with whole hosts.

--- a/src/pepperstep/claims/client.py
+++ b/src/pepperstep/claims/client.py
@@ -32,6 +32,8 @@
 _RETRY_DELAY_SECONDS = 0.1
 _FULL_RETRY_AFTER_SECONDS = 60.0
 
+_NOT_RUN = ClaimOutcome(OutcomeKind.NOT_RUN)
+
 # Results after which a claim can no longer be granted.
 _TERMINAL_STATUSES = (ClaimStatus.RELEASED, ClaimStatus.EXPIRED, ClaimStatus.FENCED)
 
@@ -41,6 +43,8 @@
     """A claim that awaits its result."""
 
     claim: Claim
+    # Recorded for the key if the claim is given up after it was granted.
+    release: ClaimOutcome
     done: trio.Event = field(default_factory=trio.Event)
     # Whether the claim was sent, so that it may be committed.
     is_sent: bool = False
@@ -102,11 +106,13 @@
         fingerprint: str,
         timeout: float,
         epoch: int = 1,
+        release: ClaimOutcome = _NOT_RUN,
     ) -> ClaimAnswer:
         """Claim the right to send a request and return the committed answer.
 
         A host that takes over a request claims it with a higher `epoch`, which
-        replaces the open claim of the previous owner.
+        replaces the open claim of the previous owner. If that owner may have sent
+        the request, `release` says so: giving up this claim must not free the key.
 
         A granted claim must be ended by `finish`, with `NOT_RUN` if the request
         isn't sent. Raise `Failure` if the request must not be sent and didn't
@@ -114,7 +120,7 @@
         `OVERLOADED` if there are too many claims.
         """
         pending = _PendingClaim(
-            self._new_claim(workspace, key, request_id, fingerprint, epoch)
+            self._new_claim(workspace, key, request_id, fingerprint, epoch), release
         )
         self._claims[pending.claim.claim_id] = pending
         self._arrived.set()
@@ -222,7 +228,7 @@
             return
         # A claim that was refused could still be granted if it is committed twice.
         if pending.result is None or pending.result.status not in _TERMINAL_STATUSES:
-            self._queue_finish(pending.claim, ClaimOutcome(OutcomeKind.NOT_RUN))
+            self._queue_finish(pending.claim, pending.release)
 
     def _queue_finish(self, claim: Claim, outcome: ClaimOutcome) -> _PendingFinish:
         sender = self._identity()
--- a/src/pepperstep/requests/acceptance.py
+++ b/src/pepperstep/requests/acceptance.py
@@ -1,10 +1,15 @@
 """Accepts requests: idempotency key, backup record and claim."""
 
-from pepperstep.claims import ClaimAnswer, ClaimStatus
+from pepperstep.claims import ClaimAnswer, ClaimOutcome, ClaimStatus, OutcomeKind
 from pepperstep.entities import Outcome, Request
 from pepperstep.errors import Code, Execution, Failure
 from pepperstep.ports import Timers
-from pepperstep.requests.claim_registry import ClaimRegistry, RecordedAnswer, claim_key
+from pepperstep.requests.claim_registry import (
+    ClaimRegistry,
+    RecordedAnswer,
+    claim_key,
+    claim_outcome,
+)
 from pepperstep.requests.finder import Finder, LookupStatus
 from pepperstep.requests.idempotency_keys import IdempotencyKeys
 from pepperstep.requests.journal import Journal
@@ -156,6 +161,7 @@
             request.fingerprint,
             _ACCEPT_TIMEOUT_SECONDS if run.outcome else self._seconds_left(run),
             run.epoch,
+            _release_of(run),
         )
 
     def _seconds_left(self, run: Run) -> float:
@@ -171,6 +177,14 @@
         self._journal.mark_changed(run, is_urgent=True)
 
 
+def _release_of(run: Run) -> ClaimOutcome:
+    """Return what to record if a claim for the run is given up."""
+    if run.outcome is not None:
+        return claim_outcome(run.tokens, run.outcome)
+    kind = OutcomeKind.MAY_HAVE_RUN if run.is_dispatched else OutcomeKind.NOT_RUN
+    return ClaimOutcome(kind)
+
+
 def _failed_outcome(failure: Failure) -> Outcome:
     return Outcome(
         code=failure.code,
--- a/src/pepperstep/requests/claim_registry.py
+++ b/src/pepperstep/requests/claim_registry.py
@@ -10,6 +10,8 @@
 
 __all__ = ["ClaimRegistry", "NoClaims", "RecordedAnswer", "claim_key", "claim_outcome"]
 
+_NOT_RUN = ClaimOutcome(OutcomeKind.NOT_RUN)
+
 
 class ClaimRegistry(Protocol):
     """Claims committed by a quorum (see `pepperstep.claims.Claims`)."""
@@ -22,6 +24,7 @@
         fingerprint: str,
         timeout: float,
         epoch: int = 1,
+        release: ClaimOutcome = _NOT_RUN,
     ) -> ClaimAnswer:
         """Return who holds the claim; raise `Failure` if that isn't known."""
 
@@ -40,6 +43,7 @@
         fingerprint: str,
         timeout: float,
         epoch: int = 1,
+        release: ClaimOutcome = _NOT_RUN,
     ) -> ClaimAnswer:
         """Raise `Failure` with `NO_QUORUM`."""
         raise Failure(Code.NO_QUORUM, "This host keeps no claims.")
@@ -80,5 +84,5 @@
             msgspec.json.encode(RecordedAnswer(tokens, outcome))
         )
     if outcome.execution is Execution.NOT_RUN:
-        return ClaimOutcome(OutcomeKind.NOT_RUN)
+        return _NOT_RUN
     return ClaimOutcome(OutcomeKind.MAY_HAVE_RUN)
--- a/tests/claims/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -166,6 +166,31 @@
         assert (await host.claim()).claim.owner.host == "o"
 
 
+@pytest.mark.parametrize("outcome", [MAY_HAVE_RUN, ClaimOutcome.from_answer(b"x")])
+@pytest.mark.parametrize("is_committed_first", [True, False])
+async def test_claim_given_up_by_a_new_owner_frees_no_key_of_what_may_have_run(
+    autojump_clock, outcome, is_committed_first
+):
+    """Guards against a second run by another request with the key."""
+    async with open_cluster() as cluster:
+        names = ("first", "second", "other")
+        first, second, other = [await cluster.add_host(name) for name in names]
+        assert (await first.claim()).is_granted
+        if is_committed_first:
+            cluster.log.lost_replies = 1
+        else:
+            cluster.log.has_quorum = False
+        with pytest.raises(Failure) as caught:
+            await second.claims.claim("desks", "k", "r", "f", 1.0, 2, outcome)
+        assert caught.value.code == Code.NO_QUORUM
+        cluster.log.has_quorum = True
+        while second.claims.uncommitted_finish_count:
+            await trio.sleep(0.1)
+        repeat = await other.claim(request="s")
+        assert repeat.status == ClaimStatus.HELD
+        assert repeat.claim.outcome == (outcome if is_committed_first else None)
+
+
 async def test_unsent_claim_is_not_released(autojump_clock):
     async with open_cluster() as cluster:
         host = await cluster.add_host("h")
