Check for each code that nothing that may have run invites a repeat

A table of all error codes that are sent, both executions, several times to come back, refused and failed requests, streams and whole answers; and the openai client's own decision for one code of each status.

It showed: internal, which is documented as always may_have_run, was sent as not_run if whoever raised it hadn't said so. No such raise is known to reach callers. Change: the interface tells may_have_run for this code in any case.

Result: 4 of 124 table cases failed, those of internal; all pass.

--- a/src/pepperstep/adapters/http_api/web.py
+++ b/src/pepperstep/adapters/http_api/web.py
@@ -254,7 +254,7 @@
 
 def _failure_headers(call: Call, failure: Failure) -> list[tuple[bytes, bytes]]:
     headers = [
-        (b"x-execution", failure.execution.encode()),
+        (b"x-execution", _execution_of(failure).encode()),
         (b"x-should-retry", b"true" if _should_retry(failure) else b"false"),
     ]
     if call.request_id:
@@ -269,13 +269,21 @@
     return headers
 
 
+def _execution_of(failure: Failure) -> Execution:
+    """Return what the caller is told; an internal error proves nothing."""
+    if failure.code is Code.INTERNAL:
+        return Execution.MAY_HAVE_RUN
+    return failure.execution
+
+
 def _should_retry(failure: Failure) -> bool:
     """Whether a client may retry the call automatically after `retry_after`.
 
     Calls that may have run must not be retried automatically, nor calls with a
     `retry_after` that clients would ignore.
     """
-    if failure.retry_after is None or failure.execution is not Execution.NOT_RUN:
+    execution = _execution_of(failure)
+    if failure.retry_after is None or execution is not Execution.NOT_RUN:
         return False
     return failure.retry_after <= _MAX_RETRY_AFTER_SECONDS
 
@@ -287,7 +295,7 @@
         "type": failure.code,
         "code": failure.code,
         "param": None,
-        "execution": failure.execution,
+        "execution": _execution_of(failure),
         "retry_after": failure.retry_after,
     }
     if entry_hosts:
