Show that a refused repeat tells not_run for a key that has run

Seen: a request that must run only once has run; its caller repeats it with the key and is refused for want of a quorum or an upstream, with not_run. By OPERATING.md anything may be sent again after not_run, also with another key.

Cause: such a refusal comes before the claim is known. It is true for the new call, not for the key.

Not mended: only the log knows of the earlier call, and whoever refuses for want of a quorum or under load can't ask it. The first call with a key must go on to be told not_run (test_outcomes_of_request_and_retry).

--- a/tests/requests/test_once.py
+++ b/tests/requests/test_once.py
@@ -222,3 +222,24 @@
         assert (result_of(outcome), hosts.runs_of(quote)) == (ANSWERED, 1)
         assert refusal.code is Code.NO_QUORUM
         assert refusal.execution is Execution.MAY_HAVE_RUN
+
+
+async def lose_services(hosts):
+    for name in ("quote-0", "quote-1"):
+        hosts.upstreams.all[name].is_alive = False
+
+
+@pytest.mark.parametrize("fault", [lose_quorum, lose_services])
+async def test_refused_repeat_does_not_tell_that_its_key_has_not_run(
+    autojump_clock, fault
+):
+    """Guards against a caller who sends what ran again, with another key."""
+    async with Hosts.start() as hosts:
+        quote = hosts.quote(OWNER)
+        await hosts.all[OWNER].service.submit(quote)
+        await trio.sleep(1)
+        assert hosts.runs_of(quote) == 1
+        await fault(hosts)
+        retry = hosts.quote(OTHER, 0, id="entry-1.9")
+        outcome = await hosts.outcome_of(OTHER, retry)
+        assert result_of(outcome) == Execution.MAY_HAVE_RUN
