Give a refused claim up as not run, whatever its release says

A refused claim replaced no other, so not run is true for it. A claim that was granted while its caller was cancelled keeps its release; a test for it was missing.

The second commit itself has no new test.

--- a/src/pepperstep/claims/client.py
+++ b/src/pepperstep/claims/client.py
@@ -223,12 +223,16 @@
         )
 
     def _release(self, pending: _PendingClaim) -> None:
-        """Make sure that the claim isn't held and can't be granted later."""
+        """Give the claim up; one given up as not run can't be granted later."""
         if not pending.is_sent:
             return
-        # A claim that was refused could still be granted if it is committed twice.
-        if pending.result is None or pending.result.status not in _TERMINAL_STATUSES:
+        status = None if pending.result is None else pending.result.status
+        if status in (None, ClaimStatus.GRANTED):
             self._queue_finish(pending.claim, pending.release)
+        elif status not in _TERMINAL_STATUSES:
+            # A refused claim replaced no other, but could still be granted if it is
+            # committed twice.
+            self._queue_finish(pending.claim, _NOT_RUN)
 
     def _queue_finish(self, claim: Claim, outcome: ClaimOutcome) -> _PendingFinish:
         sender = self._identity()
--- a/tests/claims/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -219,6 +219,20 @@
             assert (await other.claim(str(delay))).is_granted
 
 
+async def test_cancelled_new_owner_frees_no_key_of_what_may_have_run(autojump_clock):
+    """Guards against a second run after a new owner ends while it claims."""
+    async with open_cluster() as cluster:
+        names = ("first", "second", "other")
+        first, second, other = [await cluster.add_host(name) for name in names]
+        for delay in (0.0, 0.001, 0.002, 0.003):
+            key = str(delay)
+            assert (await first.claim(key)).is_granted
+            with trio.move_on_after(delay):
+                await second.claims.claim("desks", key, "r", "f", 1.0, 2, MAY_HAVE_RUN)
+            await trio.sleep(1.0)
+            assert (await other.claim(key, request="s")).status == ClaimStatus.HELD
+
+
 async def test_refused_claim_committed_twice_is_not_granted(autojump_clock):
     async with open_cluster() as cluster:
         host, other = await cluster.add_host("h"), await cluster.add_host("o")
