--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -181,6 +181,7 @@
             )
             head, facts = await self._find_answer(request, connection, head)
             if request.is_forwarded:
+                # The forwarding host would take it for this host's own refusal.
                 head = without_mark(head)
             request.framing, request.upstream_status = head.framing, head.status
             request.states_not_run = facts.was_refused
@@ -313,7 +314,10 @@
     async def _withhold(
         self, request: RelayedRequest, connection: UpstreamConnection, head: AnswerHead
     ) -> Outcome:
-        """Discard an answer whose status would promise that the request hasn't run."""
+        """Discard an answer whose status would promise that the request hasn't run.
+
+        A server error counts as a failure of the upstream, another status doesn't.
+        """
         async for _ in connection.pieces():
             pass
         request.on_attempt_failed(
--- a/src/pepperstep/relay/promises.py
+++ b/src/pepperstep/relay/promises.py
@@ -1,8 +1,8 @@
-"""Promises to a caller that its request hasn't run and never will.
+"""Statuses which promise a caller that its request hasn't run and never will.
 
-A status alone promises it to callers, but proves nothing to a host: an upstream that
-has run a request may answer with any status. An upstream that hasn't states so, and an
-entry host that refuses a forwarded request itself marks its answer.
+To a host, such a status proves nothing: an upstream may answer with any status after it
+has run a request. An upstream that hasn't run it states so, and an entry host that
+refuses a forwarded request itself marks its answer.
 """
 
 from pepperstep.ports.exchange import Answer, AnswerHead
