Prove the mark of refusals, and follow the changed text of a proof

The proof of whole answers replaces a line that has changed; without this, tests/test_proofs.py fails. New: without the mark, a status counts as the other host's refusal. Run by hand, the three proofs that this change touches: red without their mechanism.

--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -33,6 +33,7 @@
 _KINDS = "tests/relaying/test_quota_kinds.py::"
 _LATE = "tests/relaying/test_late_answers.py::"
 _PROMISES = "tests/relaying/test_promises.py::"
+_FORWARDING = "tests/relaying/test_peer_forwarding.py::"
 _PARTIAL = "tests/relaying/test_partial_views.py::"
 _LEAVING = "tests/relaying/test_leaving_upstreams.py::"
 _LIMITS = "tests/relaying/test_stated_limits.py::"
@@ -153,6 +154,17 @@
         "        if False:\n",
         (f"{_PROMISES}test_upstream_that_ran_a_request_makes_no_promise",),
     ),
+    Mechanism(
+        2,
+        "only a host's mark tells that it has refused a forwarded request",
+        "relay/peer_forwarding.py",
+        "        was_refused = has_mark(head)\n",
+        "        was_refused = is_promise(head.status)\n",
+        (
+            f"{_FORWARDING}test_status_from_another_host_alone_is_no_promise",
+            f"{_PROMISES}test_upstream_cannot_mark_a_refusal",
+        ),
+    ),
     Mechanism(
         2,
         "an answer that breaks off resets the caller's connection",
@@ -173,8 +185,8 @@
         2,
         "a whole answer is sent though its time is just over",
         "relay/answers.py",
-        "with trio.move_on_after(_SEND_TIMEOUT_SECONDS, shield=True):",
-        "with trio.move_on_after(_SEND_TIMEOUT_SECONDS):",
+        "with trio.move_on_after(_SEND_TIMEOUT_SECONDS, shield=True) as scope:",
+        "with trio.move_on_after(_SEND_TIMEOUT_SECONDS) as scope:",
         (f"{_RELAY}test_answer_just_before_the_deadline_is_sent_completely[200]",),
     ),
     Mechanism(
