--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -181,7 +181,7 @@
             )
             head, facts = await self._find_answer(request, connection, head)
             if request.is_forwarded:
-                # The forwarding host would take it for this host's own refusal.
+                # Only hosts may mark refusals, as the forwarding host trusts the mark.
                 head = without_mark(head)
             request.framing, request.upstream_status = head.framing, head.status
             request.states_not_run = facts.was_refused
