--- a/review/loopback.py
+++ b/review/loopback.py
@@ -102,7 +102,7 @@
         self.seeds: list[str] = []
         self._network = f"127.{80 + os.getpid() % 40}.{os.getpid() // 40 % 250}"
         self.port = 21_000 + os.getpid() % 500 * 16
-        self._servers: list[ThreadingHTTPServer] = []
+        self._servers: list[_Server] = []
         self._replicas: list[Replica] = []
         self._is_closed = threading.Event()
 
@@ -203,8 +203,7 @@
 
     def serve(self, ip: str, port: int, handler: type[BaseHTTPRequestHandler]):
         """Run a stand-in's HTTP server in a thread and return it."""
-        server = ThreadingHTTPServer((ip, port), handler)
-        server.daemon_threads = True
+        server = _Server((ip, port), handler)
         self._servers.append(server)
         threading.Thread(target=server.serve_forever, daemon=True).start()
         return server
@@ -431,6 +430,13 @@
                     break
 
 
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, *arguments: object) -> None:
+        """Ignore errors: a host that is killed resets its connections."""
+
+
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
 
