Log when a learner has caught up, and count the log's voters

The round of a learner was measured only while a voter was silent.

Change: `CatchUp` measures learners all the time; a line tells when one has caught up or lags, and the gauge `voters` how many voters the log has. Which learner replaces which voter, and when, is as before.

--- a/src/pepperstep/consensus/repair.py
+++ b/src/pepperstep/consensus/repair.py
@@ -7,10 +7,9 @@
 stored on fewer disks.
 """
 
-from dataclasses import dataclass
-
 from absl import logging
 
+from pepperstep.consensus.catch_up import CatchUp
 from pepperstep.consensus.leadership import Leadership, Progress
 from pepperstep.consensus.members import Identity, Membership
 from pepperstep.consensus.replica import Replica
@@ -31,14 +30,6 @@
 _LEARNER_SILENCE_SECONDS = 10.0
 
 
-@dataclass(frozen=True, slots=True)
-class _CatchUpRound:
-    """A round in which a learner catches up to the last entry at its start."""
-
-    target: int
-    started_at: float
-
-
 class Repair:
     """Changes the membership when a follower is lost, replaced or added."""
 
@@ -51,12 +42,13 @@
         self._target_voter_count = target_voter_count
         # With fewer voters, an entry would be stored on too few disks.
         self._min_voters = target_voter_count // 2 + 1
-        self._rounds: dict[Identity, _CatchUpRound] = {}
+        self._catch_up = CatchUp(replica, timers, tuning)
 
     async def run(self, leadership: Leadership) -> None:
         """Change the membership as needed until cancelled."""
-        self._rounds.clear()
+        self._catch_up.clear()
         async for _ in self._timers.subscribe(self._tuning.heartbeat_interval):
+            self._catch_up.update(leadership)
             if not self.is_settled(leadership):
                 continue
             wanted = self._next_membership(leadership)
@@ -125,8 +117,7 @@
         if len(membership.voters) == self._target_voter_count and not silent:
             return self._without_silent_learner(leadership, membership)
         for learner in membership.learners:
-            progress = leadership.progress.get(learner)
-            if progress is not None and self._is_caught_up(progress):
+            if self._catch_up.has_caught_up(learner):
                 return membership.with_voter(learner)
         return membership
 
@@ -196,19 +187,6 @@
             return membership
         return membership.with_learner(new)
 
-    def _is_caught_up(self, progress: Progress) -> bool:
-        """Whether the learner's last round took at most an election timeout."""
-        now = self._timers.now()
-        current = self._rounds.get(progress.identity)
-        if current is not None and progress.match_index < current.target:
-            return False
-        self._rounds[progress.identity] = _CatchUpRound(
-            self._replica.log.last_index, now
-        )
-        if current is None:
-            return False
-        return now - current.started_at <= self._tuning.election_timeout
-
 
 def _describe(membership: Membership) -> str:
     voters = ", ".join(str(identity) for identity in membership.voters)
--- a/src/pepperstep/programs/control_host.py
+++ b/src/pepperstep/programs/control_host.py
@@ -231,6 +231,7 @@
         add_gauge("routes_version", "In force.", lambda: self.tables.current.version)
         add_gauge("is_leader", "1 on the leader.", lambda: self.agreement.is_leader)
         add_gauge("term", "Term of the log.", lambda: self.agreement.term)
+        add_gauge("voters", "Of the log.", lambda: len(self.agreement.voters()))
         add_gauge("entry_hosts", "In contact.", lambda: self.entries.count)
         add_gauge("control_hosts", "In reach.", lambda: len(self.sync.reached))
         add_gauge("upstreams", "That take work.", self.catalog.working_count)
