Control hosts that stop hand their vote and the lead over

Cause: a control host kept its vote at SIGTERM. Its successor, though it had caught up, stayed a learner until a voter had been silent for 2 s and two more heartbeats had passed. A disk lost in this time was the second of three voters, and only the leader that had just lost its quorum could have changed the voters.

Evidence: the new line "Learner ... has caught up" came seconds before the SIGTERM; no line "Changing the membership" followed it. A successor that lags and a leader without a lease were thereby ruled out.

Change: a member that stops asks the leader to replace it, and stops once the membership without it is committed. The leader promotes a learner that has caught up, then removes the member; both steps follow each other's commit instead of heartbeats. A leader that stops has its vote replaced in the same way, then releases its lease to the voter with most of the log, which campaigns at once (`LogTakeOverRequest`). Without a learner the member keeps its vote, and stops at once. With one that lags it waits for as long as the grace period allows.

Why this is safe: each change affects one voter and waits for the commit of the one before, as all changes did. The voter is added before the old one is removed, so that entries are on a majority of at least as many disks.

--- a/src/pepperstep/consensus/election.py
+++ b/src/pepperstep/consensus/election.py
@@ -36,19 +36,49 @@
         self._timers = timers
         self._rng = rng
         self._tuning = tuning
+        # Term whose leader has released its lease to this host, 0 if there is none.
+        self._released_term = 0
+        self._released = trio.Event()
+
+    def take_over(self, term: int) -> bool:
+        """Campaign at once, as the leader of `term` has released its lease.
+
+        Return whether this host does so.
+        """
+        if term != self._replica.term or not self._can_campaign:
+            return False
+        self._released_term = term
+        self._released.set()
+        return True
 
     async def wait_until_elected(self) -> None:
         """Return once this host is elected in the latest term."""
         while True:
-            await self._wait_election_timeout()
-            if not self._replica.is_voter or self._replica.is_disk_failing:
-                continue
-            if await self._campaign():
+            await self._wait_until_due()
+            if self._can_campaign and await self._campaign():
                 return
 
+    @property
+    def _can_campaign(self) -> bool:
+        return self._replica.is_voter and not self._replica.is_disk_failing
+
+    async def _wait_until_due(self) -> None:
+        """Return after an election timeout, or once a leader has released its lease."""
+        self._released = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._wait_released, nursery.cancel_scope)
+            await self._wait_election_timeout()
+            nursery.cancel_scope.cancel()
+
+    async def _wait_released(self, scope: trio.CancelScope) -> None:
+        await self._released.wait()
+        scope.cancel()
+
     async def _wait_election_timeout(self) -> None:
         """Return once no leader has sent a message for a random timeout."""
-        timeout = self._tuning.election_timeout * (1 + self._rng.random())
+        timeout = self._rng.uniform(
+            self._tuning.election_timeout, self._tuning.max_election_timeout
+        )
         # After a lost election, the timeout starts at this call.
         start = self._timers.now()
         while True:
@@ -60,9 +90,8 @@
 
     async def _campaign(self) -> bool:
         replica = self._replica
-        if not await self._request_votes(replica.term + 1, is_pre_vote=True):
-            return False
-        if self._follower.is_vote_withheld:
+        is_released = replica.term == self._released_term > 0
+        if not is_released and not await self._is_pre_vote_won():
             return False
         term = replica.term + 1
         self._follower.leader = ""
@@ -72,13 +101,20 @@
         except Failure:
             return False
         if replica.term != term or not await self._request_votes(
-            term, is_pre_vote=False
+            term, is_lease_released=is_released
         ):
             return False
         logging.info("consensus: Won the election of term %d.", term)
         return True
 
-    async def _request_votes(self, term: int, is_pre_vote: bool) -> bool:
+    async def _is_pre_vote_won(self) -> bool:
+        if not await self._request_votes(self._replica.term + 1, is_pre_vote=True):
+            return False
+        return not self._follower.is_vote_withheld
+
+    async def _request_votes(
+        self, term: int, *, is_pre_vote: bool = False, is_lease_released: bool = False
+    ) -> bool:
         """Return whether a quorum, including this host, grants its vote."""
         replica = self._replica
         start_term = replica.term
@@ -87,6 +123,7 @@
             last_index=replica.log.last_index,
             last_term=replica.log.last_term,
             is_trial=is_pre_vote,
+            is_lease_released=is_lease_released,
         )
         votes = {replica.identity}
         async with trio.open_nursery() as nursery:
--- a/src/pepperstep/consensus/follower.py
+++ b/src/pepperstep/consensus/follower.py
@@ -88,7 +88,7 @@
         header = request.header
         if not replica.is_member or header.target_disk_id != replica.identity.disk_id:
             return pb.LogVoteReply(term=0)
-        if self.is_vote_withheld or header.term < replica.term:
+        if self._is_withheld_from(request) or header.term < replica.term:
             return pb.LogVoteReply(term=replica.term)
         if request.is_trial:
             is_granted = header.term > replica.term and self._is_up_to_date(request)
@@ -139,6 +139,16 @@
         reply.offset = len(transfer.data)
         return reply
 
+    def _is_withheld_from(self, request: pb.LogVoteRequest) -> bool:
+        """Whether this host must not vote for the sender.
+
+        A released lease is that of the term before the candidate's. No later leader
+        can have a lease either: its quorum includes a host that refuses this term.
+        """
+        if request.is_lease_released:
+            return self._replica.is_disk_failing
+        return self.is_vote_withheld
+
     async def _vote(self, request: pb.LogVoteRequest) -> pb.LogVoteReply:
         replica = self._replica
         term = request.header.term
--- a/src/pepperstep/consensus/leadership.py
+++ b/src/pepperstep/consensus/leadership.py
@@ -25,6 +25,8 @@
     identity: Identity
     next_index: int
     match_index: int = 0
+    # Time since which the follower is silent if it has never answered.
+    added_at: float = _NEVER
     # Highest commit index that the follower has acknowledged.
     commit_index: int = 0
     # Send time of the latest message.
@@ -36,6 +38,10 @@
     wake: trio.Event = field(default_factory=trio.Event)
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
+    def silence(self, now: float) -> float:
+        """Return the seconds since the last contact, or else since it was added."""
+        return now - max(self.contact_at, self.added_at)
+
     def contact_age(self, now: float) -> float | None:
         """Return the seconds since the last contact, or None if there was none."""
         return None if self.contact_at == _NEVER else now - self.contact_at
@@ -64,6 +70,7 @@
         self._nursery: trio.Nursery | None = None
         self._started_at = timers.now()
         self._progressed = trio.Event()
+        self._is_handing_over = False
         self.term = replica.term
         # Index of the first entry of this term. Entries of earlier terms are
         # committed only along with an entry of this term, since another leader
@@ -77,9 +84,9 @@
         return not self._scope.cancel_called and self._replica.term == self.term
 
     @property
-    def age(self) -> float:
-        """Seconds since this host was elected."""
-        return self._timers.now() - self._started_at
+    def admits_proposals(self) -> bool:
+        """Whether this host leads and takes proposals."""
+        return self.is_active and not self._is_handing_over
 
     @property
     def is_ready(self) -> bool:
@@ -121,6 +128,10 @@
                 nursery.start_soon(self._repair, self)
         logging.info("consensus: Stopped leading term %d.", self.term)
 
+    def stop_admitting(self) -> None:
+        """Take no more proposals, so that the next leader can store all others."""
+        self._is_handing_over = True
+
     def step_down(self) -> None:
         """Stop acting as the leader."""
         self._scope.cancel()
@@ -164,10 +175,10 @@
         """
         requested_at = self._timers.now()
         while self._replica.commit_index < self.first_index:
-            await self._wait_for_progress()
+            await self._wait_progress_as_leader()
         index = self._replica.commit_index
         while not self.has_lease and self.quorum_contact_at < requested_at:
-            await self._wait_for_progress()
+            await self._wait_progress_as_leader()
         return index
 
     def handle_progress(self) -> None:
@@ -183,8 +194,12 @@
         for progress in self.progress.values():
             progress.wake.set()
 
-    async def _wait_for_progress(self) -> None:
+    async def wait_progress(self) -> None:
+        """Return after the next answer, local sync or end of the leadership."""
         await self._progressed.wait()
+
+    async def _wait_progress_as_leader(self) -> None:
+        await self.wait_progress()
         if not self.is_active:
             raise Failure(Code.NOT_LEADER, "This host leads no longer.")
 
@@ -226,7 +241,9 @@
         for identity in membership.members:
             if identity in self.progress or identity == self._replica.identity:
                 continue
-            progress = Progress(identity, self._replica.log.last_index)
+            progress = Progress(
+                identity, self._replica.log.last_index, added_at=self._timers.now()
+            )
             self.progress[identity] = progress
             self._nursery.start_soon(self._run_follower, progress)
 
--- a/src/pepperstep/consensus/node.py
+++ b/src/pepperstep/consensus/node.py
@@ -10,6 +10,7 @@
 from pepperstep.consensus.election import Election
 from pepperstep.consensus.follower import Follower
 from pepperstep.consensus.forwarding import Forwarder, new_proposal, no_quorum_failure
+from pepperstep.consensus.handover import Handover
 from pepperstep.consensus.leadership import Leadership
 from pepperstep.consensus.members import Identity
 from pepperstep.consensus.repair import Repair
@@ -69,6 +70,17 @@
         )
         self._seed_hosts = seed_hosts
         self._repair = Repair(self._replica, timers, tuning, target_voter_count)
+        self._handover = Handover(
+            group,
+            self._replica,
+            self._follower,
+            self._election,
+            self._repair,
+            peers,
+            timers,
+            tuning,
+            lambda: self._leadership,
+        )
         self._forwarder = Forwarder(
             group, seed_hosts or voters, self._call, timers, rng, tuning
         )
@@ -155,6 +167,13 @@
             nursery.start_soon(self._forwarder.run)
             nursery.start_soon(self._run_terms)
 
+    async def leave(self) -> None:
+        """Return once this host may stop: it leads no longer and was replaced.
+
+        If no host can replace it, it stays a member of the group.
+        """
+        await self._handover.leave()
+
     async def propose(self, name: str, command: bytes, timeout: float) -> bytes:
         """Return the state machine's result once the command is applied.
 
@@ -164,7 +183,8 @@
         deadline = self._timers.now() + timeout
         proposal = new_proposal(self._rng, name, command, self._replica.commit_index)
         self._forwarder.set_target(self.leader)
-        if self._leadership is None:
+        leadership = self._leadership
+        if leadership is None or not leadership.admits_proposals:
             return await self._forwarder.propose(proposal, deadline)
         result = await self._propose_locally(proposal, timeout)
         if result.status == pb.LogProposeReply.DONE:
@@ -291,6 +311,8 @@
         async for _ in self._timers.subscribe(self._tuning.join_interval):
             if not self._bootstrap.is_loaded or not self._has_lost_leader:
                 continue
+            if self._handover.is_leaving:
+                return
             known = {*self._seed_hosts, *self.members()} - {self._name}
             targets = [each for each in targets if each in known] or sorted(known)
             await self._request_join(targets)
@@ -364,6 +386,8 @@
         self._peers.handle(pb.LogSnapshotRequest, self._on_snapshot)
         self._peers.handle(pb.LogProposeRequest, self._on_propose)
         self._peers.handle(pb.LogBarrierRequest, self._on_barrier)
+        self._peers.handle(pb.LogTakeOverRequest, self._on_take_over)
+        self._peers.handle(pb.LogLeaveRequest, self._on_leave)
         if self._seed_hosts:
             # Hosts can't join a group with a fixed membership.
             self._peers.handle(pb.LogJoinRequest, self._on_join)
@@ -382,13 +406,23 @@
         self._check_leader_header(request.header)
         return await self._follower.on_snapshot(request)
 
+    async def _on_take_over(
+        self, request: pb.LogTakeOverRequest, sender: str
+    ) -> Message:
+        self._check_group(request.header.group)
+        return self._handover.on_take_over(request)
+
+    async def _on_leave(self, request: pb.LogLeaveRequest, sender: str) -> Message:
+        self._check_group(request.group)
+        return await self._handover.on_leave(request)
+
     async def _on_propose(
         self, request: pb.LogProposeRequest, sender: str
     ) -> pb.LogProposeReply:
         self._check_group(request.group)
         reply = pb.LogProposeReply()
         leadership = self._leadership
-        if leadership is not None and leadership.is_active:
+        if leadership is not None and leadership.admits_proposals:
             reply.is_leader = True
             reply.results.extend(
                 await self._propose_all(list(request.proposals), _wait_seconds(request))
--- a/src/pepperstep/consensus/repair.py
+++ b/src/pepperstep/consensus/repair.py
@@ -2,11 +2,12 @@
 
 A voter whose disk was replaced is removed. Its host is added as a learner under
 its new identity and is promoted once it has caught up with the log. Hosts that
-ask to join are added as learners, too. A learner replaces a voter that stops
-answering: it is promoted before that voter is removed, so that entries are never
-stored on fewer disks.
+ask to join are added as learners, too. A learner that has caught up replaces a voter
+that leaves or that stops answering: it is promoted before that voter is removed, so
+that entries are never stored on fewer disks.
 """
 
+import trio
 from absl import logging
 
 from pepperstep.consensus.catch_up import CatchUp
@@ -28,6 +29,10 @@
 # A learner that doesn't answer for longer is removed; it asks to join again if it
 # returns.
 _LEARNER_SILENCE_SECONDS = 10.0
+# A member that leaves doesn't wait for a learner that hasn't answered for longer.
+_REPLACEMENT_SILENCE_SECONDS = 2.0
+# Time after which a member that leaves counts as staying unless it asks again.
+_LEAVING_SECONDS = 1.0
 
 
 class Repair:
@@ -43,20 +48,26 @@
         # With fewer voters, an entry would be stored on too few disks.
         self._min_voters = target_voter_count // 2 + 1
         self._catch_up = CatchUp(replica, timers, tuning)
+        # Times until which members count as leaving.
+        self._leaving: dict[Identity, float] = {}
+        self._woken = trio.Event()
 
     async def run(self, leadership: Leadership) -> None:
         """Change the membership as needed until cancelled."""
         self._catch_up.clear()
-        async for _ in self._timers.subscribe(self._tuning.heartbeat_interval):
+        self._leaving.clear()
+        while True:
             self._catch_up.update(leadership)
-            if not self.is_settled(leadership):
-                continue
-            wanted = self._next_membership(leadership)
-            if wanted != self._replica.membership:
-                logging.info(
-                    "consensus: Changing the membership: %s.", _describe(wanted)
-                )
-                leadership.propose_membership(wanted)
+            self._forget_staying()
+            if self.is_settled(leadership):
+                wanted = self._next_membership(leadership)
+                if wanted != self._replica.membership:
+                    logging.info(
+                        "consensus: Changing the membership: %s.", _describe(wanted)
+                    )
+                    leadership.propose_membership(wanted)
+            with self._timers.move_on_after(self._tuning.heartbeat_interval):
+                await self._wait_change(leadership)
 
     def is_settled(self, leadership: Leadership) -> bool:
         """Whether the next change of the membership may start.
@@ -67,6 +78,31 @@
         needed = max(last_change, leadership.first_index)
         return leadership.has_lease and self._replica.commit_index >= needed
 
+    @property
+    def has_surplus(self) -> bool:
+        """Whether there are more voters than the group needs."""
+        return len(self._replica.membership.voters) > self._target_voter_count
+
+    def mark_leaving(self, identity: Identity) -> None:
+        """Record that a member wants to leave; it must ask again within a second."""
+        self._leaving[identity] = self._timers.now() + _LEAVING_SECONDS
+        self._woken.set()
+
+    def is_leaving(self, identity: Identity) -> bool:
+        """Whether a member wants to leave."""
+        return self._timers.now() < self._leaving.get(identity, float("-inf"))
+
+    def can_leave(self, leadership: Leadership, identity: Identity) -> bool:
+        """Whether the group can do without a member, perhaps only after a catch-up."""
+        learners = self._replica.membership.learners
+        if identity in learners or self.has_surplus:
+            return True
+        return any(
+            self._silence_seconds(leadership, learner) <= _REPLACEMENT_SILENCE_SECONDS
+            for learner in learners
+            if not self.is_leaving(learner)
+        )
+
     def replace_voter(self, leadership: Leadership, old: str, new: Identity) -> None:
         """Remove the voter named `old` and add `new` as a learner.
 
@@ -111,15 +147,22 @@
                 membership = self._with_new_identity(membership, progress)
                 if membership.voters != self._replica.membership.voters:
                     return membership
-        silent = self._silent_voters(leadership, membership)
-        if len(membership.voters) > self._target_voter_count:
-            return membership.without(silent[0]) if silent else membership
-        if len(membership.voters) == self._target_voter_count and not silent:
-            return self._without_silent_learner(leadership, membership)
+        leaving = [each for each in membership.members if self.is_leaving(each)]
         for learner in membership.learners:
-            if self._catch_up.has_caught_up(learner):
-                return membership.with_voter(learner)
-        return membership
+            if learner in leaving:
+                return membership.without(learner)
+        own = self._replica.identity
+        leaving_voters = [each for each in leaving if each != own]
+        silent = self._silent_voters(leadership, membership)
+        count = len(membership.voters)
+        if count > self._target_voter_count:
+            surplus = leaving_voters + silent
+            return membership.without(surplus[0]) if surplus else membership
+        if count < self._target_voter_count or leaving or silent:
+            ready = self._ready_learners(leadership, membership)
+            if ready:
+                return membership.with_voter(ready[0])
+        return self._without_silent_learner(leadership, membership)
 
     def add_learner(self, leadership: Leadership, identity: Identity) -> bool:
         """Add a host that asks to join; return whether it is or becomes a member."""
@@ -152,6 +195,15 @@
         silent = [voter for voter, age in ages.items() if age > _VOTER_SILENCE_SECONDS]
         return sorted(silent, key=lambda voter: -ages[voter])
 
+    def _ready_learners(
+        self, leadership: Leadership, membership: Membership
+    ) -> list[Identity]:
+        """Return the learners that have caught up, those that answered last first."""
+        ready = filter(self._catch_up.has_caught_up, membership.learners)
+        return sorted(
+            ready, key=lambda learner: self._silence_seconds(leadership, learner)
+        )
+
     def _without_silent_learner(
         self, leadership: Leadership, membership: Membership
     ) -> Membership:
@@ -161,16 +213,22 @@
         return membership
 
     def _silence_seconds(self, leadership: Leadership, identity: Identity) -> float:
-        """Return the seconds since a follower's last contact.
-
-        The time is counted from the start of the term at the earliest.
-        """
-        since_start = leadership.age
+        """Return the seconds since a follower's last contact."""
         progress = leadership.progress.get(identity)
-        if progress is None:
-            return 0.0
-        age = progress.contact_age(self._timers.now())
-        return since_start if age is None else min(age, since_start)
+        return 0.0 if progress is None else progress.silence(self._timers.now())
+
+    def _forget_staying(self) -> None:
+        for identity in list(self._leaving):
+            if not self.is_leaving(identity):
+                del self._leaving[identity]
+
+    async def _wait_change(self, leadership: Leadership) -> None:
+        """Return once the next change of the membership may be due."""
+        if self._leaving or not self.is_settled(leadership):
+            await leadership.wait_progress()
+            return
+        self._woken = trio.Event()
+        await self._woken.wait()
 
     def _with_new_identity(
         self, membership: Membership, progress: Progress
--- a/src/pepperstep/consensus/tuning.py
+++ b/src/pepperstep/consensus/tuning.py
@@ -47,6 +47,11 @@
     max_sessions: int = 32_768
     max_session_bytes: int = 16 * _MEGABYTE
 
+    @property
+    def max_election_timeout(self) -> float:
+        """Longest time in seconds without a leader until a host campaigns."""
+        return 2 * self.election_timeout
+
     @property
     def lease(self) -> float:
         """Seconds for which an answer of a quorum extends the leader's lease.
--- a/src/pepperstep/programs/control_host.py
+++ b/src/pepperstep/programs/control_host.py
@@ -176,6 +176,11 @@
                 nursery.start_soon(self._autoscaler.run)
             task_status.started()
 
+    async def leave(self) -> None:
+        """Return once this host may stop, as others have taken over what it holds."""
+        logging.info("control: Leaving.")
+        await self.agreement.leave()
+
     async def put_table(self, version: int, document: bytes) -> None:
         """Return once the document, or one of its version or later, is committed."""
         self._contact.check()
--- a/src/pepperstep/programs/relay_daemon.py
+++ b/src/pepperstep/programs/relay_daemon.py
@@ -144,8 +144,11 @@
             await _start_metrics(host.metrics, settings, timers, nursery)
         nursery.start_soon(_ignore_reload)
         await _wait_for_stop_signal()
-        if entry is not None:
-            await _drain(entry, server, settings, timers)
+        async with trio.open_nursery() as leaving:
+            if entry is not None:
+                leaving.start_soon(_drain, entry, server, settings, timers)
+            if control is not None:
+                leaving.start_soon(_leave_group, control, settings, timers)
         logging.info("daemon: Stopping.")
         nursery.cancel_scope.cancel()
 
@@ -259,6 +262,14 @@
             return
 
 
+async def _leave_group(
+    control: "ControlHost", settings: RelaySettings, timers: TrioTimers
+) -> None:
+    """Hand over the vote and the lead while there is time before the kill."""
+    with timers.move_on_after(_GRACE_SHARE * settings.bounds.grace_seconds):
+        await control.leave()
+
+
 async def _drain(
     entry: "EntryHost",
     server: Http1Server,
--- a/tests/relaying/world.py
+++ b/tests/relaying/world.py
@@ -146,6 +146,12 @@
         elif name in self.disks:
             self.disks[name].crash()
 
+    async def terminate(self, name: str, *, is_disk_lost: bool = False) -> None:
+        """Stop a control host by a signal, and kill it after the grace period."""
+        with trio.move_on_after(self.bounds.grace_seconds):
+            await self.controls[name].leave()
+        self.kill(name, is_disk_lost=is_disk_lost)
+
     def cut_off(self, name: str, others: Collection[str] = ()) -> None:
         """Cut a host off from others, by default all control hosts, both ways."""
         for other in others or self.controls:
