Don't promote a learner that doesn't answer

What callers saw: a spare control host and then a voter end; the voter comes back, and still no configuration is ever read or acknowledged again.

Cause: a learner whose last round of catch-up was short took a silent voter's place whether or not it still answered. It counts for the quorum as soon as the change is in the log, but can't store it: two of four voters were left, where two of three would have sufficed.

Change: a learner is promoted only if it answered within two heartbeats.

Result: test_dead_learner_is_promoted failed before (no leader in 5 s), passes after, with the other tests of handover, group and repair.

--- a/src/pepperstep/consensus/repair.py
+++ b/src/pepperstep/consensus/repair.py
@@ -29,6 +29,8 @@
 # A learner that doesn't answer for longer is removed; it asks to join again if it
 # returns.
 _LEARNER_SILENCE_SECONDS = 10.0
+# Heartbeats without an answer after which a learner isn't promoted.
+_MAX_MISSED_HEARTBEATS = 2
 # A member that leaves doesn't wait for a learner that hasn't answered for longer.
 _REPLACEMENT_SILENCE_SECONDS = 2.0
 # Time after which a member that leaves counts as staying unless it asks again.
@@ -198,11 +200,18 @@
     def _ready_learners(
         self, leadership: Leadership, membership: Membership
     ) -> list[Identity]:
-        """Return the learners that have caught up, those that answered last first."""
-        ready = filter(self._catch_up.has_caught_up, membership.learners)
-        return sorted(
-            ready, key=lambda learner: self._silence_seconds(leadership, learner)
-        )
+        """Return the learners that can vote, those that answered last first.
+
+        One that doesn't answer would count for the quorum, but couldn't add to it.
+        """
+        limit = _MAX_MISSED_HEARTBEATS * self._tuning.heartbeat_interval
+        silences = {
+            learner: self._silence_seconds(leadership, learner)
+            for learner in membership.learners
+            if self._catch_up.has_caught_up(learner)
+        }
+        ready = [learner for learner, silence in silences.items() if silence <= limit]
+        return sorted(ready, key=lambda learner: silences[learner])
 
     def _without_silent_learner(
         self, leadership: Leadership, membership: Membership
--- a/tests/relaying/test_handover.py
+++ b/tests/relaying/test_handover.py
@@ -150,6 +150,19 @@
         await check_recovered(world)
 
 
+async def test_dead_learner_is_promoted(autojump_clock):
+    """A promoted host that doesn't answer counts for the quorum but can't add to it."""
+    async with open_group(1) as world:
+        killed = pick(world, "follower")
+        world.kill("n0:1", is_disk_lost=True)
+        await trio.sleep(0.4)
+        world.kill(killed)
+        await trio.sleep(5.0)
+        assert voters(world) == set(SEEDS)
+        with trio.fail_after(2.0):
+            await world.put(3)
+
+
 async def test_stopped_leader_leaves_a_group_without_a_leader(autojump_clock):
     async with open_group(0) as world:
         stopped = world.leader
