A control host of the own daemon hands the lead over when it stops

Cause: the same as in the relay's control hosts: `Node.depart` announced the end to the hosts, but the log's leader kept the lead until its silence ended it.

Change: `depart` calls `Consensus.leave` first. The group is fixed here, so that no vote is handed over.

Result: test_stopped_leader_leaves_control_hosts_without_a_leader failed before, passes after, with tests/whole.

--- a/src/pepperstep/consensus/remote.py
+++ b/src/pepperstep/consensus/remote.py
@@ -59,6 +59,9 @@
         task_status.started()
         await self._forwarder.run()
 
+    async def leave(self) -> None:
+        """Do nothing, as this host has neither a vote nor the lead."""
+
     async def propose(self, name: str, command: bytes, timeout: float) -> bytes:
         """Return the state machine's result once the command is applied.
 
--- a/src/pepperstep/node.py
+++ b/src/pepperstep/node.py
@@ -204,7 +204,8 @@
             await self.requests.hand_over()
 
     async def depart(self) -> None:
-        """Announce to the other hosts that this host has left."""
+        """Hand the lead over and announce to the other hosts that this one has left."""
+        await self.agreement.leave()
         await self.directory.depart()
 
     def _run_methods(self) -> list[Callable]:
--- a/tests/whole/test_whole_hosts.py
+++ b/tests/whole/test_whole_hosts.py
@@ -98,3 +98,13 @@
         assert engine.name in {each.name for each in node.recovery.moves.candidates()}
     assert before + after == answer_of(request)
     assert sum(each.computed_tokens for each in hosts.upstreams.engines) < 50
+
+
+async def test_stopped_leader_leaves_control_hosts_without_a_leader(autojump_clock):
+    async with start_hosts(3) as hosts:
+        await trio.sleep(2)
+        stopped = hosts.leader
+        await hosts.drain(stopped)
+        with trio.fail_after(0.2):
+            while hosts.leader in ("", stopped):
+                await trio.sleep(0.01)
