Bound the bodies of failures and the events that a host holds

What callers saw: an upstream whose error answer has no end kept them waiting until their deadline (504), and filled the entry host's memory; so did one event, or comments, without end.

Cause: the body of an error answer was read whole before anything else, also one that is discarded, and an event was held back until its end, of whatever size.

Change: an error answer is kept up to 256 KiB and for 1 s, then its connection is cut and the attempt has failed, so that the next one begins or the caller gets 502 at once. Bodies of no use are read for 0.1 s at most. An event of more than 256 KiB breaks its stream off.

--- a/src/pepperstep/relay/answers.py
+++ b/src/pepperstep/relay/answers.py
@@ -21,6 +21,8 @@
 # Answers up to this size are read completely before their head is forwarded, so that
 # the request can be retried if the answer breaks off.
 _MAX_BUFFERED_BYTES = 262_144
+# Largest event of a stream. The end of an event is needed before it's forwarded.
+_MAX_EVENT_BYTES = 262_144
 # Time to send a complete answer to the caller, even past the deadline.
 _SEND_TIMEOUT_SECONDS = 1.0
 _SUCCESS_STATUSES = range(200, 300)
@@ -90,6 +92,8 @@
                 has_events = True
                 self._on_first_byte(request)
                 await self._forward_piece(exchange, head, complete_events)
+            if events.partial_bytes > _MAX_EVENT_BYTES:
+                raise ConnectionFault("an event is too long", True)
         if events.has_partial:
             raise ConnectionFault(f"ended inside an event, by {head.framing}", True)
         if not has_events and head.framing is Framing.CLOSE:
--- a/src/pepperstep/relay/attempt.py
+++ b/src/pepperstep/relay/attempt.py
@@ -33,9 +33,14 @@
 # that sends more answers nothing that it is asked.
 _MAX_LATE_ANSWERS = 64
 _MIN_SERVER_ERROR_STATUS = 500
-# Time for the body of a refusal, which upstreams send with its head. A new connection
-# costs less than a longer wait.
-_REFUSAL_BODY_SECONDS = 0.1
+# Time for a body of no use, such as a refusal's, which upstreams send with its head. A
+# new connection costs less than a longer wait.
+_DISCARD_SECONDS = 0.1
+# Largest body that is discarded, or kept to be passed on to the caller.
+_MAX_FAILURE_BYTES = 262_144
+# Time for the body of an error answer that may be passed on to the caller. The next
+# attempt waits for it.
+_FAILURE_BODY_SECONDS = 1.0
 _MISDIRECTED_STATUS = 421
 # Source of the news that an upstream is gone: another one answers at its address.
 _SOURCE_ANSWER = "answer"
@@ -285,32 +290,62 @@
     async def _discard_refusal(
         self, request: RelayedRequest, connection: UpstreamConnection
     ) -> None:
-        """Discard a refusal's body; close the connection if the body is late or cut."""
+        """Discard a refusal's body, even if it breaks off: the head states enough."""
+        try:
+            await self._discard_body(request, connection)
+        except ConnectionFault as fault:
+            connection.close()
+            logging.info("relay: %s: a refusal broke off: %s", request.name, fault.text)
+
+    async def _discard_body(
+        self, request: RelayedRequest, connection: UpstreamConnection
+    ) -> None:
+        """Discard a body; close the connection if the body is late or too long."""
         reason = "it is late"
-        with self._timers.move_on_after(_REFUSAL_BODY_SECONDS):
-            try:
-                async for _ in connection.pieces():
-                    pass
-            except ConnectionFault as fault:
-                reason = fault.text
+        with self._timers.move_on_after(_DISCARD_SECONDS):
+            size = 0
+            async for piece in connection.pieces():
+                size += len(piece)
+                if size > _MAX_FAILURE_BYTES:
+                    reason = "it is too long"
+                    break
             else:
                 return
         connection.close()
-        logging.info("relay: %s: cut a refusal's body: %s", request.name, reason)
+        logging.info("relay: %s: cut a body of no use: %s", request.name, reason)
 
     async def _store_failure(
         self, request: RelayedRequest, connection: UpstreamConnection, head: AnswerHead
     ) -> Outcome:
         """Store an upstream's error answer, sent to the caller if no retry succeeds."""
-        body = b"".join([piece async for piece in connection.pieces()])
+        body = await self._read_failure(request, connection)
         request.on_attempt_failed(
             request.choice.upstream.id, f"its answer is {head.status}"
         )
         self._count_run(request)
-        headers = self._wire.write_answer(head, is_framed=True)
-        request.failure_answer = Answer(head.status, body, headers)
+        if body is not None:
+            headers = self._wire.write_answer(head, is_framed=True)
+            request.failure_answer = Answer(head.status, body, headers)
         return Outcome.FAILED
 
+    async def _read_failure(
+        self, request: RelayedRequest, connection: UpstreamConnection
+    ) -> bytes | None:
+        """Return an error answer's body, None if it's too long or takes too long."""
+        body = bytearray()
+        reason = "it is late"
+        with self._timers.move_on_after(_FAILURE_BODY_SECONDS):
+            async for piece in connection.pieces():
+                body += piece
+                if len(body) > _MAX_FAILURE_BYTES:
+                    reason = "it is too long"
+                    break
+            else:
+                return bytes(body)
+        connection.close()
+        logging.info("relay: %s: cut an error answer: %s", request.name, reason)
+        return None
+
     async def _withhold(
         self, request: RelayedRequest, connection: UpstreamConnection, head: AnswerHead
     ) -> Outcome:
@@ -318,8 +353,7 @@
 
         A server error counts as a failure of the upstream, another status doesn't.
         """
-        async for _ in connection.pieces():
-            pass
+        await self._discard_body(request, connection)
         request.on_attempt_failed(
             request.choice.upstream.id,
             f"its answer is {head.status}, which doesn't state that it hasn't run",
@@ -343,8 +377,7 @@
         Forwarding its body would insert it into the stream, which would then look
         complete.
         """
-        async for _ in connection.pieces():
-            pass
+        await self._discard_body(request, connection)
         request.on_attempt_failed(
             upstream.id, f"it doesn't go on, but answers {head.status}"
         )
--- a/src/pepperstep/relay/events.py
+++ b/src/pepperstep/relay/events.py
@@ -19,6 +19,11 @@
         # Last id among the complete events, b"" if none had one.
         self.last_id = b""
 
+    @property
+    def partial_bytes(self) -> int:
+        """Size of the buffered incomplete event."""
+        return len(self._partial)
+
     @property
     def has_partial(self) -> bool:
         """Whether an incomplete event is buffered; blank lines belong to none."""
