Bound interim answers, and late answers that are skipped

Cause: answers 100 and 103 were skipped without a limit, and so was the body of a late answer to another request. Callers waited until their deadline.

Change: at most 32 interim answers come before an answer, and a late answer has at most 8 MiB; the attempt fails at once with more.

Result: tests with real sockets. Heads, chunk sizes, extensions and trailers without end failed the attempt before, and do now.

--- a/src/pepperstep/adapters/http1/client.py
+++ b/src/pepperstep/adapters/http1/client.py
@@ -24,6 +24,10 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Largest status line and headers of an answer.
 _MAX_HEAD_BYTES = 65_536
+# Interim answers (RFC 9110, 15.2) that are skipped before an answer.
+_MAX_INTERIM_ANSWERS = 32
+# Largest body of a late answer that is skipped.
+_MAX_SKIPPED_BYTES = 8_388_608
 
 
 class Http1Connector:
@@ -112,8 +116,11 @@
         h11 state machine into the state in which it expects an answer. Its method is
         that of the real one, as answers to HEAD have no body.
         """
-        async for _ in self.pieces():
-            pass
+        size = 0
+        async for piece in self.pieces():
+            size += len(piece)
+            if size > _MAX_SKIPPED_BYTES:
+                raise self._mark_broken("a late answer is too long")
         # The end of the connection alone shows that no answer follows: a late answer's
         # "Connection: close" is as old as the answer itself.
         if self._protocol.their_state not in (h11.DONE, h11.MUST_CLOSE):
@@ -189,13 +196,14 @@
             self._unsent = self._unsent[sent:]
 
     async def _read_head(self) -> AnswerHead:
-        while True:
+        for _ in range(_MAX_INTERIM_ANSWERS):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
                 return AnswerHead(event.status_code, tuple(event.headers))
             raise self._mark_broken("the connection was closed without an answer")
+        raise self._mark_broken("too many interim answers")
 
     async def _next_event(self):
         try:
--- a/tests/relaying/test_endless_answers.py
+++ b/tests/relaying/test_endless_answers.py
@@ -1,11 +1,14 @@
 """Answers of upstreams that never end: bytes without end in a head or a body."""
 
 from collections.abc import Iterator
+from contextlib import asynccontextmanager
 
 import pytest
 import trio
 
+from pepperstep.adapters.http1 import Http1Connector
 from pepperstep.fakes.relaying import Reply
+from pepperstep.ports.exchange import ConnectionFault, RequestHead
 from tests.relaying.test_relay import EVENTS, answers, head, serve
 from tests.relaying.world import open_world, request
 
@@ -15,6 +18,7 @@
 STREAM = (b"content-type", b"text/event-stream")
 # Requests must be answered long before their deadline, which is 1.5 s.
 MAX_SECONDS = 0.5
+FLOOD_BYTES = 64_000_000
 
 
 class Flood:
@@ -113,3 +117,74 @@
     if begin:
         yield begin
     yield from flood
+
+
+@asynccontextmanager
+async def open_upstream(answer: bytes, flood: bytes):
+    """Yield the address of a server that sends `answer` and then `flood` on and on."""
+
+    async def serve_connection(stream: trio.SocketStream) -> None:
+        async with stream:
+            await stream.receive_some()
+            try:
+                await stream.send_all(answer)
+                for _ in range(FLOOD_BYTES // len(flood)):
+                    await stream.send_all(flood)
+            except trio.BrokenResourceError:
+                return
+
+    async with trio.open_nursery() as nursery:
+        [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, serve_connection, [listener])
+        yield f"127.0.0.1:{listener.socket.getsockname()[1]}"
+        nursery.cancel_scope.cancel()
+
+
+INTERIM = {
+    "100": b"HTTP/1.1 100 Continue\r\n\r\n",
+    "103": b"HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n",
+}
+NO_END = {
+    "header line": (b"HTTP/1.1 200 OK\r\nA: ", b"x" * 1000),
+    "header lines": (b"HTTP/1.1 200 OK\r\n", b"A: x\r\n" * 100),
+    "status line": (b"HTTP/1.1 200 ", b"x" * 1000),
+    **{name: (b"", answer * 100) for name, answer in INTERIM.items()},
+}
+GET = RequestHead(b"GET", b"/", ((b"host", b"h"),))
+
+
+@pytest.mark.parametrize("name", NO_END)
+async def test_head_without_end_keeps_the_request_waiting(name):
+    async with open_upstream(*NO_END[name]) as address:
+        connection = await Http1Connector(trio.current_time).connect(address, 1.0)
+        with trio.fail_after(5.0), pytest.raises(ConnectionFault):
+            await connection.send(GET, b"")
+        connection.close()
+
+
+@pytest.mark.parametrize("interim", INTERIM.values())
+async def test_a_few_interim_answers_fail_a_request(interim):
+    answer = interim * 5 + b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    async with open_upstream(answer, PIECE) as address:
+        connection = await Http1Connector(trio.current_time).connect(address, 1.0)
+        assert (await connection.send(GET, b"")).status == 200
+        connection.close()
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+BODIES = {
+    "late answer": (CHUNKED, b"10000\r\n" + PIECE + b"\r\n"),
+    "chunk size": (CHUNKED, b"0" * 1000),
+    "chunk extension": (CHUNKED + b"1;", b"x" * 1000),
+    "trailers": (CHUNKED + b"0\r\n", b"A: x\r\n" * 100),
+}
+
+
+@pytest.mark.parametrize("name", BODIES)
+async def test_late_answer_without_end_keeps_the_request_waiting(name):
+    async with open_upstream(*BODIES[name]) as address:
+        connection = await Http1Connector(trio.current_time).connect(address, 1.0)
+        await connection.send(GET, b"")
+        with trio.fail_after(5.0), pytest.raises(ConnectionFault):
+            await connection.skip_answer()
+        connection.close()
