Read only the start of the platform's answers

Cause: a call to the platform's API read the whole answer, for up to 1.5 s, though only its status counts. Change: 64 KiB are read at most. Result: test_platform_answer_without_end_fills_memory; not run on the old code, which reads until the call's timeout.

--- a/src/pepperstep/platform/cloud.py
+++ b/src/pepperstep/platform/cloud.py
@@ -18,6 +18,8 @@
 
 # Timeout of a call with its answer; the API is slow at times.
 _CALL_SECONDS = 1.5
+# Part of an answer that is read; only its status counts, and its start is logged.
+_MAX_ANSWER_BYTES = 65_536
 
 
 class _Usage(msgspec.Struct):
@@ -90,9 +92,13 @@
             raise Failure(Code.PEER_UNREACHABLE, fault.text) from fault
         try:
             answer = await connection.send(head, body)
-            pieces = [piece async for piece in connection.pieces()]
+            body = bytearray()
+            async for piece in connection.pieces():
+                body += piece
+                if len(body) > _MAX_ANSWER_BYTES:
+                    break
         except ConnectionFault as fault:
             raise Failure(Code.PEER_UNREACHABLE, fault.text) from fault
         finally:
             connection.close()
-        return Answer(answer.status, b"".join(pieces))
+        return Answer(answer.status, bytes(body))
--- a/tests/relaying/test_endless_answers.py
+++ b/tests/relaying/test_endless_answers.py
@@ -7,8 +7,12 @@
 import trio
 
 from pepperstep.adapters.http1 import Http1Connector
-from pepperstep.fakes.relaying import Reply
+from pepperstep.errors import Failure
+from pepperstep.fakes import FakeTimers
+from pepperstep.fakes.relaying import FakeConnector, Reply
+from pepperstep.platform import PlatformCloud
 from pepperstep.ports.exchange import ConnectionFault, RequestHead
+from pepperstep.ports.usage import UsageReport
 from tests.relaying.test_relay import EVENTS, answers, head, serve
 from tests.relaying.world import open_world, request
 
@@ -188,3 +192,12 @@
         with trio.fail_after(5.0), pytest.raises(ConnectionFault):
             await connection.skip_answer()
         connection.close()
+
+
+async def test_platform_answer_without_end_fills_memory(autojump_clock):
+    flood = Flood()
+    connector = FakeConnector({"cloud:1": floods(500, flood)})
+    cloud = PlatformCloud("cloud:1", connector, FakeTimers())
+    with pytest.raises(Failure):
+        await cloud.report(UsageReport("c0:1", 1, 1, {}))
+    assert flood.taken <= MAX_BYTES
