A caller's Connection header removes none of the system's headers

Cause: headers that Connection names were dropped on the way to the upstream, after the system's own had been added.

Change: the caller's Connection, and what it names, go first; headers that requests need stay.

--- a/src/pepperstep/platform/names.py
+++ b/src/pepperstep/platform/names.py
@@ -9,6 +9,7 @@
     "CONFIG_REPLACE",
     "DEADLINE",
     "DEREGISTER",
+    "END_TO_END",
     "EXPECT_REPLICA",
     "FENCE",
     "HEARTBEAT",
@@ -26,6 +27,7 @@
     "RESOLVE",
     "ROLLOUT_READ",
     "ROLLOUT_START",
+    "PREFIX",
     "RESERVED",
     "RESUMES",
     "SCALE",
@@ -61,6 +63,11 @@
 TENANT = b"pepperstep-tenant"
 # Number of prompt tokens, and maximum number of answer tokens.
 TOKENS = b"pepperstep-token-counts"
+# Headers of requests that no `Connection` header removes, beside those with the prefix.
+PREFIX = b"pepperstep-"
+END_TO_END = frozenset(
+    (b"host", b"content-type", b"content-length", LAST_EVENT, RESUMES)
+)
 # Headers that only pepperstep may set; those from callers are dropped.
 RESERVED = frozenset(
     (
--- a/src/pepperstep/platform/wire.py
+++ b/src/pepperstep/platform/wire.py
@@ -57,7 +57,8 @@
 
     def write_request(self, head: RequestHead, forwarding: Forwarding) -> RequestHead:
         """Return the head to send to the upstream."""
-        headers = [each for each in head.headers if each[0] not in names.RESERVED]
+        forwarded = _end_to_end_headers(head)
+        headers = [each for each in forwarded if each[0] not in names.RESERVED]
         wait = max(1, int(1000 * forwarding.wait))
         headers.append((names.DEADLINE, b"%d" % wait))
         headers.append((names.EXPECT_REPLICA, forwarding.upstream.encode()))
@@ -80,7 +81,8 @@
         if last_event_id:
             replaced.add(names.LAST_EVENT)
             headers.append((names.LAST_EVENT, last_event_id))
-        kept = [each for each in head.headers if each[0] not in replaced]
+        forwarded = _end_to_end_headers(head)
+        kept = [each for each in forwarded if each[0] not in replaced]
         return RequestHead(head.method, head.target, (*kept, *headers))
 
     def read_answer(self, head: AnswerHead) -> AnswerFacts:
@@ -120,6 +122,25 @@
         return Answer(status, body, tuple(headers))
 
 
+def _end_to_end_headers(head: RequestHead) -> list[Header]:
+    """Return a caller's headers without `Connection` and those that it names.
+
+    `Connection` can't remove headers that requests need. As it isn't forwarded, it
+    doesn't remove headers that hosts add, either.
+    """
+    dropped = {b"connection"}
+    for name, value in head.headers:
+        if name == b"connection":
+            dropped |= {option.strip().lower() for option in value.split(b",")}
+    return [
+        (name, value)
+        for name, value in head.headers
+        if name not in dropped
+        or name in names.END_TO_END
+        or name.startswith(names.PREFIX)
+    ]
+
+
 def _parse_key(value: bytes) -> str:
     text = value.decode("latin-1").strip()
     if text[: len(_BEARER)].lower() != _BEARER:
--- a/tests/relaying/test_platform.py
+++ b/tests/relaying/test_platform.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from pepperstep.adapters.http1.framing import end_to_end_headers
 from pepperstep.entities.routes import Repetition
 from pepperstep.errors import Code, Execution, Failure, InvalidDocument
 from pepperstep.platform import PlatformWire, decode_table, read_platform_settings
@@ -272,3 +273,39 @@
     head = AnswerHead(200, ((b"server-limit", value),))
     assert PlatformWire().read_answer(head).rate_limit == limit
     assert PlatformWire().read_answer(AnswerHead(200, ())).rate_limit is None
+
+
+OPTIONS = [
+    b"pepperstep-tenant",
+    b"pepperstep-expect-replica",
+    b"pepperstep-deadline-ms",
+    b"pepperstep-attempt-id",
+    b"pepperstep-token-counts",
+    b"host",
+    b"last-event-id",
+]
+
+
+@pytest.mark.parametrize("is_forwarded", [False, True])
+@pytest.mark.parametrize("option", OPTIONS)
+def test_connection_header_of_a_caller_removes_headers_of_the_system(
+    option, is_forwarded
+):
+    sent = [
+        (b"host", b"a.example"),
+        (b"connection", b"close, " + option.title() + b", x-hop"),
+        (b"x-hop", b"1"),
+        (b"pepperstep-attempt-id", b"id-1"),
+        (b"pepperstep-token-counts", b"1/2"),
+    ]
+    wire = PlatformWire()
+    head = RequestHead(b"GET", b"/safe/1", tuple(sent))
+    if is_forwarded:
+        # The upstream's headers are added by the host to which this one forwards.
+        head = wire.write_forwarded(head, 1.0, b"3")
+    written = wire.write_request(
+        head, Forwarding("u1", 1.0, "desk", last_event_id=b"3")
+    )
+    values = dict(end_to_end_headers(written.headers))
+    assert values.keys() >= set(OPTIONS) and b"x-hop" not in values
+    assert values[b"pepperstep-tenant"] == b"desk"
