A control host that ends during the first start takes part in it again

Cause: only the settings told which hosts are the first voters, and at the second start they didn't. The host waited to be a learner, the others waited for its agreement.

Change: the names of the first voters are stored with the identity. A host with an empty disk takes part if a majority of the first voters say that they have no log yet.

Why this is safe: a log with the host's earlier identity could have had a quorum only with another of the first voters, and these have none on their disks.

--- a/src/pepperstep/consensus/bootstrap.py
+++ b/src/pepperstep/consensus/bootstrap.py
@@ -5,6 +5,12 @@
 reachable, none has a log, and each has stored that it agrees to the same
 identities. If another host already has a log whose initial voters don't include
 this host's identity, this host waits until the leader adds it as a learner.
+
+A host that ends during the first start may be started again as one that isn't an
+initial voter. It goes on as one if its disk says so. With an empty disk, it becomes
+one again if a majority of the initial voters say that they have no log yet: then no
+log with its earlier identity has ever had a quorum, so nothing that it may have lost
+was acknowledged.
 """
 
 import random
@@ -37,6 +43,7 @@
     is_member: bool
     initial: tuple[Identity, ...]
     pledge: tuple[Identity, ...]
+    first_voters: tuple[str, ...]
 
 
 class Bootstrap:
@@ -47,6 +54,7 @@
         name: str,
         voters: tuple[str, ...],
         group: str,
+        seed_hosts: tuple[str, ...],
         replica: Replica,
         peers: PeerNetwork,
         timers: Timers,
@@ -56,6 +64,7 @@
         self._name = name
         self._voters = voters
         self._group = group
+        self._seed_hosts = seed_hosts
         self._replica = replica
         self._peers = peers
         self._timers = timers
@@ -93,12 +102,13 @@
         file = await self._replica.store.load_identity()
         if file is None:
             disk_id = self._rng.randbytes(_DISK_ID_BYTES).hex()
-            file = pb.LogIdentityFile(disk_id=disk_id)
+            file = pb.LogIdentityFile(disk_id=disk_id, first_voters=self._voters)
             await self._replica.store.save_identity(file)
             logging.info(
                 "consensus: The disk is empty, created identity %s.", disk_id[:8]
             )
         self._identity_file = file
+        self._voters = self._voters or tuple(file.first_voters)
         self._replica.identity = Identity(self._name, file.disk_id)
         self._is_loaded = True
 
@@ -113,7 +123,7 @@
     async def _wait_for_initial_voters(self) -> tuple[Identity, ...]:
         """Return the initial voters, or () if a leader adds this host as a learner."""
         if self._name not in self._voters:
-            await self._added_as_learner.wait()
+            await self._wait_added_or_invited()
         while not self._added_as_learner.is_set():
             answers = await self._query_peers()
             found = self._initial_from_members(answers)
@@ -124,6 +134,36 @@
             await self._timers.sleep(self._tuning.heartbeat_interval)
         return ()
 
+    async def _wait_added_or_invited(self) -> None:
+        async with trio.open_nursery() as nursery:
+
+            async def wait_added() -> None:
+                await self._added_as_learner.wait()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(wait_added)
+            await self._wait_invited()
+            nursery.cancel_scope.cancel()
+
+    async def _wait_invited(self) -> None:
+        """Return once most initial voters take this host for one of them."""
+        while self._name not in self._voters:
+            await self._timers.sleep(self._tuning.heartbeat_interval)
+            answers = await self._query_hosts(self._seed_hosts)
+            for voters in {answer.first_voters for answer in answers}:
+                inviting = [each for each in answers if each.first_voters == voters]
+                if self._name in voters and 2 * len(inviting) > len(voters):
+                    await self._become_initial(voters)
+
+    async def _become_initial(self, voters: tuple[str, ...]) -> None:
+        file = pb.LogIdentityFile(
+            disk_id=self._identity_file.disk_id, first_voters=voters
+        )
+        await self._replica.store.save_identity(file)
+        self._identity_file = file
+        self._voters = voters
+        logging.info("consensus: Taking part in the first start of %s.", voters)
+
     def _initial_from_members(self, answers: list[_PeerState]) -> tuple[Identity, ...]:
         for answer in answers:
             if answer.is_member and self._replica.identity in answer.initial:
@@ -143,7 +183,9 @@
         return all(answer.pledge == wanted for answer in answers)
 
     async def _save_pledge(self, wanted: tuple[Identity, ...]) -> None:
-        file = pb.LogIdentityFile(disk_id=self._identity_file.disk_id)
+        file = pb.LogIdentityFile(
+            disk_id=self._identity_file.disk_id, first_voters=self._voters
+        )
         file.pledge.extend(identity.to_message() for identity in wanted)
         await self._replica.store.save_identity(file)
         self._identity_file = file
@@ -154,9 +196,12 @@
         Rounds don't overlap, so an identity from a later round is never older
         than one from an earlier round.
         """
+        return await self._query_hosts(self._voters)
+
+    async def _query_hosts(self, names: tuple[str, ...]) -> list[_PeerState]:
         answers: list[_PeerState] = []
         async with trio.open_nursery() as nursery:
-            for peer in self._voters:
+            for peer in names:
                 if peer != self._name:
                     nursery.start_soon(self._query_peer, peer, answers)
         return answers
@@ -173,6 +218,7 @@
                 reply.is_member,
                 Identity.from_messages(reply.initial),
                 Identity.from_messages(reply.pledge),
+                tuple(reply.first_voters),
             )
         )
 
@@ -184,4 +230,5 @@
             is_member=self._identity_file.is_member,
             initial=self._identity_file.initial,
             pledge=self._identity_file.pledge,
+            first_voters=self._voters if self.is_bootstrapping else (),
         )
--- a/src/pepperstep/consensus/node.py
+++ b/src/pepperstep/consensus/node.py
@@ -57,7 +57,7 @@
         self._leadership: Leadership | None = None
         self._replica = Replica(storage, group, tuning)
         self._bootstrap = Bootstrap(
-            name, voters, group, self._replica, peers, timers, rng, tuning
+            name, voters, group, seed_hosts, self._replica, peers, timers, rng, tuning
         )
         self._follower = Follower(self._replica, timers, tuning)
         self._follower.step_down = self._step_down
--- a/tests/relaying/test_endless_answers.py
+++ b/tests/relaying/test_endless_answers.py
@@ -125,7 +125,10 @@
 
 @asynccontextmanager
 async def open_upstream(answer: bytes, flood: bytes):
-    """Yield the address of a server that sends `answer` and then `flood` on and on."""
+    """Yield the address of a server that sends `answer` and then `flood` on and on.
+
+    After `FLOOD_BYTES`, it goes on without sending anything.
+    """
 
     async def serve_connection(stream: trio.SocketStream) -> None:
         async with stream:
@@ -134,6 +137,7 @@
                 await stream.send_all(answer)
                 for _ in range(FLOOD_BYTES // len(flood)):
                     await stream.send_all(flood)
+                await trio.sleep_forever()
             except trio.BrokenResourceError:
                 return
 
--- a/tests/relaying/test_group.py
+++ b/tests/relaying/test_group.py
@@ -1,12 +1,14 @@
 """The control group forms from seed addresses and replaces lost hosts."""
 
+from contextlib import asynccontextmanager
+
 import pytest
 import trio
 
 from pepperstep.errors import Failure
 from pepperstep.proto import codec
 from pepperstep.proto.consensus_pb2 import LogJoinRequest
-from tests.relaying.world import document, open_world
+from tests.relaying.world import World, document, open_world
 from tests.whole.test_whole_hosts import start_hosts
 
 SEEDS = ("c0:1", "c1:1", "c2:1")
@@ -97,6 +99,55 @@
         assert world.leader == ""
 
 
+@asynccontextmanager
+async def open_first_start():
+    """Yield a world in which no host has started yet."""
+    async with trio.open_nursery() as nursery:
+        yield World(nursery)
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("seconds", [None, 0.0, 0.001, 0.004, 0.01, 0.1, 0.3])
+async def test_group_never_forms_after_a_kill_during_the_first_start(
+    autojump_clock, seconds
+):
+    """`seconds` is the time until the kill, None for one before the first write."""
+    async with open_first_start() as world:
+        for name in SEEDS[:2]:
+            await world.start_control(name, SEEDS, is_first=True)
+        if seconds is not None:
+            await world.start_control(SEEDS[2], SEEDS, is_first=True)
+            await trio.sleep(seconds)
+            world.kill(SEEDS[2])
+        await trio.sleep(0.5)
+        await world.start_control(SEEDS[2], SEEDS, is_first=False)
+        with trio.fail_after(6.0):
+            await world.put(1)
+        await trio.sleep(4.0)
+        assert voters(world) == set(SEEDS)
+
+
+async def test_host_whose_disk_says_it_starts_first_forgets_it(autojump_clock):
+    async with open_first_start() as world:
+        for name in SEEDS:
+            await world.start_control(name, SEEDS, is_first=True)
+            await trio.sleep(0.1)
+            world.kill(name)
+        for name in SEEDS:
+            await world.start_control(name, SEEDS, is_first=False)
+        with trio.fail_after(6.0):
+            await world.put(1)
+
+
+async def test_one_host_of_the_first_start_invites_two_empty_disks(autojump_clock):
+    """The two may have lost a log whose quorum they were."""
+    async with open_first_start() as world:
+        for name in SEEDS:
+            await world.start_control(name, SEEDS, is_first=name == SEEDS[0])
+        await trio.sleep(10.0)
+        assert world.leader == ""
+
+
 async def ask_to_join(world, number: int) -> None:
     """Send the leader a join request from a host that doesn't exist."""
     request = LogJoinRequest(group="control", name=f"x{number}:1", disk_id=f"{number}")
