Draw replacements while a disk is lost, too

Cause: the orders of events drew a removal only while no host was lost. A removed host doesn't count once a spare has had its time, so a removal beside a lost disk is allowed as well.

Change: the property test draws these, and disks that stay away; hosts start with the addresses of today's hosts as seeds.

--- a/tests/relaying/test_handover_properties.py
+++ b/tests/relaying/test_handover_properties.py
@@ -2,7 +2,7 @@
 
 A host counts as lost while it is away, cut off or frozen, and for the time to catch up
 after its start. A host that was removed stops counting once a spare has had that time.
-At most one host is lost at a time.
+At most one host is lost at a time; another may be replaced meanwhile.
 """
 
 import json
@@ -24,13 +24,14 @@
 # A member that ends without a signal is replaced within a second.
 DETECTION_SECONDS = 1.0
 STOP_GAP_SECONDS = 0.2
+RESTART_SECONDS = 1.0
 
 HOSTS = st.integers(0, VOTER_COUNT + MAX_SPARES - 1)
 STEPS = st.one_of(
     st.tuples(st.just("add"), st.just(0)),
     st.tuples(st.sampled_from(["terminate", "kill", "lose"]), HOSTS),
     st.tuples(st.sampled_from(["terminate", "kill", "lose"]), HOSTS),
-    st.tuples(st.sampled_from(["restart", "crash", "cut", "freeze"]), HOSTS),
+    st.tuples(st.sampled_from(["restart", "crash", "wipe", "cut", "freeze"]), HOSTS),
     st.tuples(st.sampled_from(["put", "back", "kill all"]), st.just(0)),
     st.tuples(st.just("wait"), st.integers(1, 50)),
 )
@@ -44,6 +45,8 @@
         self._hosts = list(SEEDS)
         # Times from which hosts no longer count as lost.
         self._ready_at = dict.fromkeys(SEEDS, 0.0)
+        # Times from which hosts can have replaced others.
+        self._replaces_from = dict.fromkeys(SEEDS, 0.0)
         self._away: set[str] = set()
         self._added = 0
         self._quiet_until = 0.0
@@ -62,9 +65,11 @@
             await self._bring_back()
         elif step == "kill all":
             await self._kill_all()
-        elif value < len(self._hosts) and self._may_lose(self._hosts[value]):
+        elif value < len(self._hosts):
             name = self._hosts[value]
-            await getattr(self, f"_{step}")(name)
+            is_removal = step in ("terminate", "kill")
+            if self._may_remove(name) if is_removal else self._may_lose(name):
+                await getattr(self, f"_{step}")(name)
 
     async def put(self) -> None:
         """Send the next version, and record whether it is acknowledged."""
@@ -84,63 +89,82 @@
         assert self.acknowledged == self._version
 
     def _may_lose(self, name: str) -> bool:
+        return self._may_end(name) and not self._lost_beside(name)
+
+    def _may_remove(self, name: str) -> bool:
         now = trio.current_time()
         others = [each for each in self._hosts if each != name]
-        ready = [each for each in others if self._is_ready(each, now)]
-        lost_count = len(others) - len(ready) + max(0, VOTER_COUNT - 1 - len(others))
-        return not lost_count and name not in self._away and now >= self._quiet_until
+        replacing = [each for each in others if self._replaces_from[each] <= now]
+        is_replaced = len(replacing) >= VOTER_COUNT
+        return self._may_end(name) and is_replaced and self._lost_beside(name) <= 1
 
-    def _is_ready(self, name: str, now: float) -> bool:
-        return name not in self._away and now >= self._ready_at[name]
+    def _may_end(self, name: str) -> bool:
+        return name not in self._away and trio.current_time() >= self._quiet_until
 
-    def _is_replaceable(self) -> bool:
-        return len(self._hosts) > VOTER_COUNT
+    def _lost_beside(self, name: str) -> int:
+        """Return how many of the other hosts count as lost."""
+        now = trio.current_time()
+        return sum(
+            each in self._away or now < self._ready_at[each]
+            for each in self._hosts
+            if each != name
+        )
 
     async def _add(self) -> None:
         if len(self._hosts) < VOTER_COUNT + MAX_SPARES and not self._away:
             self._added += 1
             self._hosts.append(f"n{self._added}:1")
             await self._start(self._hosts[-1])
+            self._replaces_from[self._hosts[-1]] = self._ready_at[self._hosts[-1]]
 
     async def _start(self, name: str) -> None:
         self._away.discard(name)
-        await self._world.start_control(name, SEEDS, is_first=False)
+        seeds = tuple(self._hosts[:VOTER_COUNT])
+        await self._world.start_control(name, seeds, is_first=False)
         self._ready_at[name] = trio.current_time() + CATCH_UP_SECONDS
 
     async def _terminate(self, name: str) -> None:
-        """Stop a host for good if there is a spare."""
-        if self._is_replaceable():
-            self._hosts.remove(name)
-            await self._world.terminate(name, is_disk_lost=True)
-            self._be_quiet(STOP_GAP_SECONDS)
+        """Stop a host for good."""
+        self._hosts.remove(name)
+        await self._world.terminate(name, is_disk_lost=True)
+        self._be_quiet(STOP_GAP_SECONDS)
 
     async def _kill(self, name: str) -> None:
-        """Kill a host for good if there is a spare."""
-        if self._is_replaceable():
-            self._hosts.remove(name)
-            self._world.kill(name, is_disk_lost=True)
-            self._be_quiet(DETECTION_SECONDS)
+        """Kill a host for good."""
+        self._hosts.remove(name)
+        self._world.kill(name, is_disk_lost=True)
+        self._be_quiet(DETECTION_SECONDS)
 
     async def _lose(self, name: str) -> None:
+        """End a host, which is back soon with an empty disk."""
         self._world.kill(name, is_disk_lost=True)
-        await trio.sleep(1.0)
+        await trio.sleep(RESTART_SECONDS)
         await self._start(name)
 
+    async def _wipe(self, name: str) -> None:
+        """End a host, which is back later with an empty disk."""
+        self._world.kill(name, is_disk_lost=True)
+        self._set_away(name)
+
     async def _restart(self, name: str) -> None:
         await self._world.terminate(name)
         await self._start(name)
 
     async def _crash(self, name: str) -> None:
         self._world.kill(name)
-        self._away.add(name)
+        self._set_away(name)
 
     async def _cut(self, name: str) -> None:
         self._world.cut_off(name)
-        self._away.add(name)
+        self._set_away(name)
 
     async def _freeze(self, name: str) -> None:
         self._world.timers[name].pause()
+        self._set_away(name)
+
+    def _set_away(self, name: str) -> None:
         self._away.add(name)
+        self._be_quiet(DETECTION_SECONDS)
 
     async def _kill_all(self) -> None:
         """End all hosts at once; they are back with their disks within a second."""
