Log signals, the end of a drain, and requests that it cuts

Change: events signal_received, drain_ended and request_cut. Servers count connections whose request isn't read, or that aren't accepted. No decision uses the new counts.

--- a/src/pepperstep/adapters/http1/connection.py
+++ b/src/pepperstep/adapters/http1/connection.py
@@ -35,6 +35,8 @@
 # Values of SO_LINGER: a close resets the connection, or ends it after all data.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _END_ON_CLOSE = struct.pack("ii", 0, 0)
+# Poll events of a connection that its caller has closed.
+_CALLER_GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 _VERSION_WITHOUT_CHUNKS = b"1.0"
 # Method whose answers have no body.
@@ -94,12 +96,21 @@
         self._input_parsed = trio.Event()
         self._is_discarding = False
         self._has_served = False
+        # Whether a request is being read.
+        self._is_reading = False
         self.is_busy = False
         self.head: RequestHead | None = None
         self.body = b""
         self.arrived_at = 0.0
         self.has_begun = False
 
+    @property
+    def has_unread_request(self) -> bool:
+        """Whether a request has arrived, or a part of it, that isn't handled yet."""
+        if self.is_busy:
+            return False
+        return self._is_reading or self._unparsed_bytes > 0 or self._is_readable()
+
     async def run(self) -> None:
         """Serve requests until the connection ends."""
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -107,7 +118,9 @@
 
     async def _serve_requests(self) -> None:
         while True:
-            if not await self._read_request():
+            is_read = await self._read_request()
+            self._is_reading = False
+            if not is_read:
                 return
             self.is_busy = True
             await self._handler(self)
@@ -194,6 +207,7 @@
         self.drop_body()
         if not await self._wait_first_byte():
             return False
+        self._is_reading = True
         limits = self._limits()
         try:
             with trio.fail_after(limits.header_seconds):
@@ -210,6 +224,14 @@
         poll.register(self._sock.fileno(), select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def _is_readable(self) -> bool:
+        """Whether the socket has unread data, and the caller is still there."""
+        if self._sock.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(self._sock.fileno(), select.POLLIN | select.POLLRDHUP)
+        return any(not events & _CALLER_GONE for _, events in poll.poll(0))
+
     async def _wait_first_byte(self) -> bool:
         if self._protocol.trailing_data[0]:
             self.arrived_at = self._now()
--- a/src/pepperstep/adapters/http1/server.py
+++ b/src/pepperstep/adapters/http1/server.py
@@ -1,7 +1,9 @@
 """HTTP/1.1 server whose handlers get each request with its whole body."""
 
+import select
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import trio
 from absl import logging
@@ -11,7 +13,7 @@
 from pepperstep.entities.routes import CallerLimits
 from pepperstep.ports.exchange import CallerGone, ExchangeHandler
 
-__all__ = ["Http1Server"]
+__all__ = ["Http1Server", "PendingWork"]
 
 # Listen backlog. It must hold a burst of callers that reconnect at once, because a
 # dropped SYN costs the caller seconds.
@@ -22,6 +24,28 @@
 _ACCEPT_PAUSE_SECONDS = 0.05
 
 
+@dataclass(frozen=True, slots=True)
+class PendingWork:
+    """Connections that would be cut if a server ended now, by their state."""
+
+    # A request is being answered.
+    in_progress: int = 0
+    # A request has arrived, at least in part, and isn't being answered yet.
+    unread: int = 0
+    # At least one connection waits to be accepted.
+    unaccepted: int = 0
+
+    def __bool__(self) -> bool:
+        return bool(self.in_progress or self.unread or self.unaccepted)
+
+    def __add__(self, other: "PendingWork") -> "PendingWork":
+        return PendingWork(
+            self.in_progress + other.in_progress,
+            self.unread + other.unread,
+            self.unaccepted + other.unaccepted,
+        )
+
+
 class Http1Server:
     """Listens on one address and passes each request to `handler`."""
 
@@ -37,13 +61,18 @@
         self._limits = limits
         self._now = now
         self._body_budget = BodyBudget(_MAX_BODY_BYTES)
+        self._listener: trio.socket.SocketType | None = None
         self._connections: set[CallerConnection] = set()
         self._is_closing = False
 
     @property
-    def busy_count(self) -> int:
-        """Number of connections with an in-flight request."""
-        return sum(connection.is_busy for connection in self._connections)
+    def pending_work(self) -> PendingWork:
+        """What would be cut if the server ended now."""
+        return PendingWork(
+            in_progress=sum(each.is_busy for each in self._connections),
+            unread=sum(each.has_unread_request for each in self._connections),
+            unaccepted=int(self._has_unaccepted()),
+        )
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled; raise OSError if the address can't be bound."""
@@ -57,6 +86,7 @@
             text = f"Can't listen on {self._address}: {error.strerror}"
             raise OSError(error.errno, text) from error
         listener.listen(_BACKLOG)
+        self._listener = listener
         try:
             async with trio.open_nursery() as nursery:
                 task_status.started()
@@ -82,18 +112,28 @@
                 )
                 await trio.sleep(_ACCEPT_PAUSE_SECONDS)
                 continue
-            nursery.start_soon(self._serve, sock)
-
-    async def _serve(self, sock: trio.socket.SocketType) -> None:
-        connection = CallerConnection(
-            sock,
-            self._handler,
-            self._limits,
-            self._now,
-            lambda: self._is_closing,
-            self._body_budget,
-        )
-        self._connections.add(connection)
+            connection = CallerConnection(
+                sock,
+                self._handler,
+                self._limits,
+                self._now,
+                lambda: self._is_closing,
+                self._body_budget,
+            )
+            self._connections.add(connection)
+            nursery.start_soon(self._serve, connection, sock)
+
+    def _has_unaccepted(self) -> bool:
+        """Whether a connection waits to be accepted."""
+        if self._listener is None or self._listener.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(self._listener.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    async def _serve(
+        self, connection: CallerConnection, sock: trio.socket.SocketType
+    ) -> None:
         try:
             await connection.run()
         except (OSError, CallerGone):
--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -9,6 +9,7 @@
 __all__ = [
     "ContentSuspected",
     "Decision",
+    "DrainEnded",
     "DutyTaken",
     "EntryContact",
     "LeavingAcknowledged",
@@ -16,6 +17,7 @@
     "QuotaExceeded",
     "RequestAbandoned",
     "RequestChosen",
+    "RequestCut",
     "RequestEnded",
     "RequestFailed",
     "RequestForwarded",
@@ -25,6 +27,7 @@
     "RolloutMoved",
     "SchedulingUnavailable",
     "ShardCreated",
+    "SignalReceived",
     "StreamOriginSought",
     "TableInForce",
     "UpstreamContactChanged",
@@ -117,6 +120,44 @@
     after_ms: int
 
 
+class RequestCut(Decision, tag="request_cut"):
+    """A request's connection was closed because this host stopped."""
+
+    request: str
+    # Upstream of the latest attempt, "" before the first one.
+    upstream: str
+    attempts: int
+    # Whether an attempt's answer was still to come or incomplete.
+    is_in_flight: bool
+    was_begun: bool
+    # Time since the request's arrival.
+    after_ms: int
+    may_have_run: bool
+
+
+class SignalReceived(Decision, tag="signal_received"):
+    """This process got a signal."""
+
+    signal: str
+    # Whether it was stopping already.
+    is_stopping: bool
+
+
+class DrainEnded(Decision, tag="drain_ended"):
+    """A stopping host closes its listeners and connections.
+
+    Its requests were finished ("idle"), or its time was over ("grace_over").
+    """
+
+    reason: str
+    after_ms: int
+    # Connections, by what would be cut: a request that is answered, or one that isn't
+    # read or only partly read; and connections that aren't accepted.
+    in_progress: int
+    unread: int
+    unaccepted: int
+
+
 class StreamOriginSought(Decision, tag="stream_origin"):
     """A caller resumes a stream, and this host has looked for where it began."""
 
--- a/src/pepperstep/programs/relay_daemon.py
+++ b/src/pepperstep/programs/relay_daemon.py
@@ -23,6 +23,7 @@
 from pepperstep.adapters.timers import TrioTimers
 from pepperstep.entities.routes import CallerLimits
 from pepperstep.errors import Failure, InvalidDocument
+from pepperstep.observability.decisions import DrainEnded, SignalReceived
 from pepperstep.observability.relay_metrics import RelayMetrics
 from pepperstep.platform import (
     SETTINGS_VARIABLE,
@@ -258,7 +259,9 @@
 
 async def _wait_for_stop_signal() -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
+        async for number in signals:
+            event = SignalReceived(signal.Signals(number).name, is_stopping=False)
+            logging.info("daemon: %s", event)
             return
 
 
@@ -288,8 +291,17 @@
     while True:
         await timers.sleep(_POLL_SECONDS)
         elapsed = timers.now() - started
-        is_busy = server.busy_count or entry.forwarded.in_flight
+        pending = server.pending_work
+        is_busy = pending.in_progress or entry.forwarded.in_flight
         if elapsed >= grace or (elapsed >= cached_seconds and not is_busy):
+            event = DrainEnded(
+                reason="grace_over" if elapsed >= grace else "idle",
+                after_ms=round(1000 * elapsed),
+                in_progress=pending.in_progress + entry.forwarded.in_flight,
+                unread=pending.unread,
+                unaccepted=pending.unaccepted,
+            )
+            logging.info("daemon: %s", event)
             return
 
 
--- a/src/pepperstep/relay/recorder.py
+++ b/src/pepperstep/relay/recorder.py
@@ -8,6 +8,7 @@
     QuotaExceeded,
     RequestAbandoned,
     RequestChosen,
+    RequestCut,
     RequestEnded,
     RequestFailed,
     RequestRefused,
@@ -148,6 +149,20 @@
         )
         logging.info("relay: %s", event)
 
+    def record_cut(self, request: RelayedRequest) -> None:
+        """Record a request that is cut because this host stops."""
+        choice = request.choice
+        event = RequestCut(
+            request=request.name,
+            upstream="" if choice is None else choice.upstream.id,
+            attempts=request.attempt_count,
+            is_in_flight=request.is_in_flight,
+            was_begun=request.exchange.has_begun,
+            after_ms=self._age_ms(request.exchange),
+            may_have_run=request.may_have_run or request.is_in_flight,
+        )
+        logging.info("relay: %s", event)
+
     def record_over_quota(
         self,
         request: RelayedRequest,
--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -4,6 +4,8 @@
 from collections.abc import Awaitable, Callable
 from functools import partial
 
+import trio
+
 from pepperstep.coordination import StreamOrigin, TableStore, UpstreamCatalog
 from pepperstep.entities.routes import Route, Workspace
 from pepperstep.errors import Code, Execution, Failure
@@ -136,6 +138,10 @@
             if request is not None:
                 self._recorder.record_abandoned(request)
             raise
+        except trio.Cancelled:
+            if request is not None:
+                self._recorder.record_cut(request)
+            raise
         except Failure as failure:
             self._refund_quota(request)
             answer = self._wire.write_failure(failure, facts.attempt_id)
