Take only what a stopping host finishes, and end it when nothing is left

What callers saw: around SIGTERM to an entry host their connections ended without an answer, though an upstream had got the request.

Cause: a stopping host refused streams after 2.5 s and took all else until its time was over, which cut what was in progress. Before that it ended when no request was in progress at the moment of a look every 0.1 s: requests that were unread, partly read or in connections that weren't accepted didn't count, nor what began between the look and the end. Only the callers' listener was looked at.

Change: after 2.5 s a request is taken only if its deadline expires before 0.93 of the grace period; others get 503 'draining', which is true, at once. At 0.93 what is still in progress is answered as failed. Then all servers of the process close: they accept what has connected, stop listening, and close each connection once it has nothing in progress or unread. The process ends when none is left.

Why it works: what is taken has its answer, by its upstream or its deadline, before the connections close; what comes later is refused; and a connection is closed in the step that found it idle.

--- a/src/pepperstep/adapters/http1/__init__.py
+++ b/src/pepperstep/adapters/http1/__init__.py
@@ -6,6 +6,6 @@
 
 from pepperstep.adapters.http1.client import Http1Connector
 from pepperstep.adapters.http1.metrics import MetricsHandler
-from pepperstep.adapters.http1.server import Http1Server
+from pepperstep.adapters.http1.server import Http1Server, PendingWork
 
-__all__ = ["Http1Connector", "Http1Server", "MetricsHandler"]
+__all__ = ["Http1Connector", "Http1Server", "MetricsHandler", "PendingWork"]
--- a/src/pepperstep/adapters/http1/connection.py
+++ b/src/pepperstep/adapters/http1/connection.py
@@ -28,6 +28,8 @@
 # Data that is buffered before it is parsed, for example pipelined requests while one
 # is answered. Reading stops at this size.
 _MAX_UNPARSED_BYTES = 262_144
+# Time after which a caller that has opened a connection has sent a request.
+_FIRST_REQUEST_SECONDS = 0.1
 # Limits on reading the rest of a refused request. Callers need some milliseconds to
 # receive the refusal.
 _LINGER_SECONDS = 0.5
@@ -80,6 +82,7 @@
         # Bytes of the current request's body, as taken from the budget.
         self._body_bytes = 0
         self._sock = sock
+        self._opened_at = now()
         self._handler = handler
         self._limits = limits
         self._now = now
@@ -111,6 +114,18 @@
             return False
         return self._is_reading or self._unparsed_bytes > 0 or self._is_readable()
 
+    def close_if_idle(self) -> None:
+        """Close the connection if no request is in progress, unread or on its way.
+
+        A caller's first request is on its way for a moment after the connection has
+        been opened.
+        """
+        age = self._now() - self._opened_at
+        if self.is_busy or not self._has_served and age < _FIRST_REQUEST_SECONDS:
+            return
+        if not self.has_unread_request:
+            self._sock.close()
+
     async def run(self) -> None:
         """Serve requests until the connection ends."""
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/pepperstep/adapters/http1/server.py
+++ b/src/pepperstep/adapters/http1/server.py
@@ -22,6 +22,8 @@
 _MAX_BODY_BYTES = 67_108_864
 # Pause after `accept` failed, for example for lack of file descriptors.
 _ACCEPT_PAUSE_SECONDS = 0.05
+# Period at which a closing server looks for idle connections.
+_CLOSE_POLL_SECONDS = 0.005
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,12 +100,30 @@
         """Send `Connection: close` with each further answer."""
         self._is_closing = True
 
+    async def close(self) -> None:
+        """Stop listening, and return once all connections are closed.
+
+        A connection is closed once it has no request in progress or unread. Requests
+        that have arrived are still passed to the handler.
+        """
+        self._is_closing = True
+        while self._has_unaccepted():
+            await trio.sleep(_CLOSE_POLL_SECONDS)
+        if self._listener is not None:
+            self._listener.close()
+        while self._connections:
+            for connection in list(self._connections):
+                connection.close_if_idle()
+            await trio.sleep(_CLOSE_POLL_SECONDS)
+
     async def _accept(
         self, listener: trio.socket.SocketType, nursery: trio.Nursery
     ) -> None:
         while True:
             try:
                 sock, _ = await listener.accept()
+            except trio.ClosedResourceError:
+                return
             except ConnectionError:
                 continue
             except OSError as error:
--- a/src/pepperstep/observability/decisions.py
+++ b/src/pepperstep/observability/decisions.py
@@ -144,15 +144,11 @@
 
 
 class DrainEnded(Decision, tag="drain_ended"):
-    """A stopping host closes its listeners and connections.
+    """A stopping host has closed its connections, or its time for that is over."""
 
-    Its requests were finished ("idle"), or its time was over ("grace_over").
-    """
-
-    reason: str
     after_ms: int
-    # Connections, by what would be cut: a request that is answered, or one that isn't
-    # read or only partly read; and connections that aren't accepted.
+    # Connections that are cut, by what is lost: a request that is answered, or one that
+    # isn't read or only partly read; and connections that aren't accepted.
     in_progress: int
     unread: int
     unaccepted: int
--- /dev/null
+++ b/src/pepperstep/programs/draining.py
@@ -0,0 +1,151 @@
+"""Drain of a host that stops: what it still takes, and when it may end.
+
+The reasons for the times are in `docs/design/draining.md`.
+"""
+
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+
+import trio
+from absl import logging
+
+from pepperstep.adapters.http1 import Http1Server, PendingWork
+from pepperstep.observability.decisions import DrainEnded
+from pepperstep.ports import Timers
+from pepperstep.programs.relay_settings import RelayBounds
+
+__all__ = ["DIRECTORY_SECONDS", "Drain", "DrainSchedule"]
+
+# Time to live of the entry hosts' addresses at callers. Some callers keep the
+# addresses three times as long, and a stopping host must wait for them.
+DIRECTORY_SECONDS = 1.5
+_MAX_DIRECTORY_LIFETIMES = 3
+# Requests of any length are taken for this long, at most for this share of the grace
+# period. What an upstream still works on at the end of the period must have come
+# early in it.
+_ANY_LENGTH_SECONDS = 2.5
+_ANY_LENGTH_SHARE = 0.3125
+# Shares of the grace period, which ends with the kill.
+_ANSWERED_SHARE = 0.93
+_CLOSED_SHARE = 0.97
+_POLL_SECONDS = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class DrainSchedule:
+    """Times of a drain in seconds after its start."""
+
+    # Callers may have this host's address until then.
+    addressed: float
+    # Afterwards, requests are taken only if their deadlines expire before `answered`.
+    any_length: float
+    # No request is in progress any longer.
+    answered: float
+    # All connections are closed.
+    closed: float
+
+    @classmethod
+    def from_config(
+        cls, bounds: RelayBounds, *, has_addresses_cached: bool = True
+    ) -> "DrainSchedule":
+        """Return the schedule of a host that is killed after the grace period.
+
+        `has_addresses_cached` is whether callers may know the host's address.
+        """
+        grace = bounds.grace_seconds
+        answered = _ANSWERED_SHARE * grace
+        lifetimes = _MAX_DIRECTORY_LIFETIMES if has_addresses_cached else 0
+        cached = lifetimes * DIRECTORY_SECONDS
+        return cls(
+            addressed=min(cached, answered),
+            any_length=min(_ANY_LENGTH_SECONDS, _ANY_LENGTH_SHARE * grace),
+            answered=answered,
+            closed=_CLOSED_SHARE * grace,
+        )
+
+    def accepts(self, elapsed: float, remaining: float) -> bool:
+        """Whether a request is taken `elapsed` seconds after the start.
+
+        `remaining` is the time until its deadline.
+        """
+        return elapsed < self.any_length or elapsed + remaining <= self.answered
+
+
+def _do_nothing() -> None:
+    pass
+
+
+class Drain:
+    """Ends a host's work and closes its connections, so that no request is cut.
+
+    `start_leaving` tells others that this host stops, `hand_over` returns once they
+    have taken over what it holds, and `end_work` answers what is still in progress and
+    refuses what comes.
+    """
+
+    def __init__(
+        self,
+        servers: Sequence[Http1Server],
+        schedule: DrainSchedule,
+        timers: Timers,
+        *,
+        start_leaving: Callable[[], None] = _do_nothing,
+        hand_over: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint,
+        end_work: Callable[[], None] = _do_nothing,
+    ):
+        self._servers = servers
+        self._start_leaving = start_leaving
+        self._hand_over = hand_over
+        self._end_work = end_work
+        self._schedule = schedule
+        self._timers = timers
+        self._started_at = 0.0
+
+    async def run(self) -> None:
+        """Return once all connections are closed, or when their time is over."""
+        self._started_at = self._timers.now()
+        for server in self._servers:
+            server.announce_closing()
+        self._start_leaving()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._end_work_in_time)
+            await self._wait_idle()
+            with self._timers.move_on_after(self._schedule.closed - self._elapsed):
+                async with trio.open_nursery() as closing:
+                    for server in self._servers:
+                        closing.start_soon(server.close)
+            self._record_end()
+            nursery.cancel_scope.cancel()
+
+    @property
+    def _elapsed(self) -> float:
+        return self._timers.now() - self._started_at
+
+    @property
+    def _pending(self) -> PendingWork:
+        return sum((each.pending_work for each in self._servers), PendingWork())
+
+    async def _wait_idle(self) -> None:
+        """Return once the host seems idle and nobody needs it, or its time is over.
+
+        Requests may still come: closing the servers finds those.
+        """
+        with self._timers.move_on_after(self._schedule.answered):
+            await self._hand_over()
+            await self._timers.sleep(self._schedule.addressed - self._elapsed)
+            while self._pending:
+                await self._timers.sleep(_POLL_SECONDS)
+
+    async def _end_work_in_time(self) -> None:
+        await self._timers.sleep(self._schedule.answered)
+        self._end_work()
+
+    def _record_end(self) -> None:
+        pending = self._pending
+        event = DrainEnded(
+            after_ms=round(1000 * self._elapsed),
+            in_progress=pending.in_progress,
+            unread=pending.unread,
+            unaccepted=pending.unaccepted,
+        )
+        logging.info("daemon: %s", event)
--- a/src/pepperstep/programs/entry_host.py
+++ b/src/pepperstep/programs/entry_host.py
@@ -18,6 +18,7 @@
 from pepperstep.coordination.silence import SilenceVotes
 from pepperstep.observability.relay_metrics import RelayMetrics
 from pepperstep.observability.scheduling_recorder import SchedulingRecorder
+from pepperstep.programs.draining import DrainSchedule
 from pepperstep.programs.relay_ports import RelayPorts
 from pepperstep.programs.relay_settings import RelaySettings
 from pepperstep.programs.scheduling import ServiceShards
@@ -53,9 +54,6 @@
 # upstreams are kept.
 _FORGET_SECONDS = 600.0
 _CLEAN_UP_SECONDS = 1.0
-# Seconds after the order to stop for which new streams are still accepted. Streams
-# accepted later may not end before the process is killed.
-_ACCEPT_STREAMS_SECONDS = 2.5
 
 
 class EntryHost:
@@ -67,6 +65,7 @@
         self._incarnation = int(ports.timers.wall() * 1000)
         self._started_at = ports.timers.now()
         self._leaving_since: float | None = None
+        self._drain_schedule = DrainSchedule.from_config(settings.bounds)
         now = ports.timers.now
         self.metrics = RelayMetrics()
         self.tables = TableStore(ports.decode)
@@ -224,7 +223,7 @@
             ),
             ports.timers,
             ports.rng,
-            self._accepts_streams,
+            self._accepts,
         )
         # Accepts requests from other entry hosts.
         self.forwarded = ForwardedRequests(
@@ -276,7 +275,7 @@
         return self.sync.directory.addresses(zone, without)
 
     def leave(self) -> None:
-        """Leave the directory for callers; incoming requests are still answered."""
+        """Leave the directory for callers; requests are taken if there is time left."""
         if self._leaving_since is None:
             logging.info("entry: Leaving.")
             self._leaving_since = self._timers.now()
@@ -356,10 +355,12 @@
         add_gauge("ready", "1 if callers are told of it.", lambda: self.is_ready)
         add_gauge("owner", "1 if it's named as an owner.", self._is_owner)
 
-    def _accepts_streams(self) -> bool:
+    def _accepts(self, deadline: float) -> bool:
+        """Whether this host lasts until a request's deadline, or long enough."""
         if self._leaving_since is None:
             return True
-        return self._timers.now() - self._leaving_since < _ACCEPT_STREAMS_SECONDS
+        now = self._timers.now()
+        return self._drain_schedule.accepts(now - self._leaving_since, deadline - now)
 
     def _report(self) -> EntryReport:
         return EntryReport(
--- a/src/pepperstep/programs/relay_daemon.py
+++ b/src/pepperstep/programs/relay_daemon.py
@@ -9,7 +9,7 @@
 import random
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -23,7 +23,7 @@
 from pepperstep.adapters.timers import TrioTimers
 from pepperstep.entities.routes import CallerLimits
 from pepperstep.errors import Failure, InvalidDocument
-from pepperstep.observability.decisions import DrainEnded, SignalReceived
+from pepperstep.observability.decisions import SignalReceived
 from pepperstep.observability.relay_metrics import RelayMetrics
 from pepperstep.platform import (
     SETTINGS_VARIABLE,
@@ -35,6 +35,8 @@
     TableDecoder,
     read_platform_settings,
 )
+from pepperstep.ports.exchange import ExchangeHandler
+from pepperstep.programs.draining import DIRECTORY_SECONDS, Drain, DrainSchedule
 from pepperstep.programs.relay_ports import RelayPorts
 from pepperstep.programs.relay_settings import RelaySettings
 
@@ -53,13 +55,6 @@
 # Port of the metrics endpoint of both roles, on the host's peer address.
 METRICS_PORT = 9464
 
-# Time to live of the entry hosts' addresses at callers. Some callers keep the
-# addresses three times as long, and a stopping host must wait for them.
-_DIRECTORY_SECONDS = 1.5
-_MAX_DIRECTORY_LIFETIMES = 3
-# Fraction of the grace period, which ends with the kill, that draining may take.
-_GRACE_SHARE = 0.93
-_POLL_SECONDS = 0.1
 # Limits on operators' documents.
 _OPERATOR_LIMITS = CallerLimits(body_bytes=32 * 1024 * 1024)
 
@@ -133,27 +128,114 @@
         settings.peer_address,
     )
     async with trio.open_nursery() as nursery:
-        await nursery.start(peers.serve)
-        entry = control = None
-        if settings.control is not None:
-            control = _make_control(settings, ports)
-            await _start_control(control, decoder, settings, timers, nursery)
-        if settings.entry is not None:
-            entry = _make_entry(settings, ports)
-            server = await _start_entry(entry, settings, timers, nursery)
-        for host in filter(None, (entry, control)):
-            await _start_metrics(host.metrics, settings, timers, nursery)
+        roles = _Roles(settings, ports, decoder, nursery)
+        await roles.start(peers)
         nursery.start_soon(_ignore_reload)
         await _wait_for_stop_signal()
-        async with trio.open_nursery() as leaving:
-            if entry is not None:
-                leaving.start_soon(_drain, entry, server, settings, timers)
-            if control is not None:
-                leaving.start_soon(_leave_group, control, settings, timers)
+        await roles.drain()
         logging.info("daemon: Stopping.")
         nursery.cancel_scope.cancel()
 
 
+class _Roles:
+    """The host's roles, with the servers through which others reach them.
+
+    Each runs in `nursery` until that is cancelled.
+    """
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        ports: RelayPorts,
+        decoder: TableDecoder,
+        nursery: trio.Nursery,
+    ):
+        self._settings = settings
+        self._ports = ports
+        self._decoder = decoder
+        self._nursery = nursery
+        self._servers: list[Http1Server] = []
+        self._entry: EntryHost | None = None
+        self._control: ControlHost | None = None
+        # Whether the entry host has started, after which callers learn its address.
+        self._serves_callers = False
+
+    async def start(self, peers: GrpcPeers) -> None:
+        """Start the roles, control first; raise OSError if an address is taken."""
+        await self._nursery.start(peers.serve)
+        if self._settings.control is not None:
+            self._control = _make_control(self._settings, self._ports)
+            await self._start_control(self._control)
+        if self._settings.entry is not None:
+            self._entry = _make_entry(self._settings, self._ports)
+            await self._start_entry(self._entry)
+        for host in filter(None, (self._entry, self._control)):
+            await self._start_metrics(host.metrics)
+
+    async def drain(self) -> None:
+        """Return once no request would be cut, or shortly before the kill."""
+        actions = {}
+        if self._entry is not None:
+            actions["start_leaving"] = self._entry.leave
+            actions["end_work"] = self._entry.relay.end
+        if self._control is not None:
+            actions["hand_over"] = self._control.leave
+        schedule = DrainSchedule.from_config(
+            self._settings.bounds, has_addresses_cached=self._serves_callers
+        )
+        await Drain(self._servers, schedule, self._ports.timers, **actions).run()
+
+    async def _start_control(self, control: "ControlHost") -> None:
+        role = self._settings.control
+        handler = ControlHandler(control, self._decoder)
+        await self._serve(
+            role.operator_address, handler.handle, lambda: _OPERATOR_LIMITS
+        )
+        if role.directory_address:
+            await self._start_directory(control, role.directory_address)
+        await self._nursery.start(control.run)
+
+    async def _start_entry(self, entry: "EntryHost") -> None:
+        role = self._settings.entry
+
+        def limits() -> CallerLimits:
+            return entry.tables.current.limits
+
+        await self._serve(role.caller_address, entry.relay.handle, limits)
+        if role.readiness_address:
+            readiness = ReadinessHandler(lambda: entry.is_ready)
+            await self._serve(role.readiness_address, readiness.handle)
+        if role.directory_address:
+            await self._start_directory(entry, role.directory_address)
+        if role.forward_address:
+            await self._serve(role.forward_address, entry.forwarded.handle, limits)
+        await self._nursery.start(entry.run)
+        self._serves_callers = True
+
+    async def _start_directory(
+        self, host: "ControlHost | EntryHost", address: str
+    ) -> None:
+        longest = self._settings.bounds.directory_seconds
+        time_to_live = min(DIRECTORY_SECONDS, longest)
+        handler = DirectoryHandler(host, time_to_live)
+        await self._serve(address, handler.handle)
+
+    async def _start_metrics(self, metrics: RelayMetrics) -> None:
+        host = self._settings.peer_address.rpartition(":")[0]
+        await self._serve(f"{host}:{METRICS_PORT}", MetricsHandler(metrics).handle)
+
+    async def _serve(
+        self,
+        address: str,
+        handler: ExchangeHandler,
+        limits: Callable[[], CallerLimits] = CallerLimits,
+    ) -> None:
+        """Start a server, which a drain closes."""
+        server = Http1Server(address, handler, limits, self._ports.timers.now)
+        self._servers.append(server)
+        await self._nursery.start(server.run)
+
+
 def _make_control(settings: RelaySettings, ports: RelayPorts) -> "ControlHost":
     # Each role imports only its own modules, which shortens the start of a host.
     from pepperstep.programs.control_host import ControlHost
@@ -167,89 +249,6 @@
     return EntryHost(settings, ports)
 
 
-async def _start_control(
-    control: "ControlHost",
-    decoder: TableDecoder,
-    settings: RelaySettings,
-    timers: TrioTimers,
-    nursery: trio.Nursery,
-) -> None:
-    role = settings.control
-    handler = ControlHandler(control, decoder)
-    server = Http1Server(
-        role.operator_address, handler.handle, lambda: _OPERATOR_LIMITS, timers.now
-    )
-    await nursery.start(server.run)
-    if role.directory_address:
-        await _start_directory(
-            control, role.directory_address, settings, timers, nursery
-        )
-    await nursery.start(control.run)
-
-
-async def _start_directory(
-    host: "ControlHost | EntryHost",
-    address: str,
-    settings: RelaySettings,
-    timers: TrioTimers,
-    nursery: trio.Nursery,
-) -> None:
-    time_to_live = min(_DIRECTORY_SECONDS, settings.bounds.directory_seconds)
-    handler = DirectoryHandler(host, time_to_live)
-    server = Http1Server(address, handler.handle, CallerLimits, timers.now)
-    await nursery.start(server.run)
-
-
-async def _start_entry(
-    entry: "EntryHost",
-    settings: RelaySettings,
-    timers: TrioTimers,
-    nursery: trio.Nursery,
-) -> Http1Server:
-    role = settings.entry
-    server = Http1Server(
-        role.caller_address,
-        entry.relay.handle,
-        lambda: entry.tables.current.limits,
-        timers.now,
-    )
-    await nursery.start(server.run)
-    if role.readiness_address:
-        readiness = ReadinessHandler(lambda: entry.is_ready)
-        readiness_server = Http1Server(
-            role.readiness_address, readiness.handle, CallerLimits, timers.now
-        )
-        await nursery.start(readiness_server.run)
-    if role.directory_address:
-        await _start_directory(entry, role.directory_address, settings, timers, nursery)
-    if role.forward_address:
-        forwarded_server = Http1Server(
-            role.forward_address,
-            entry.forwarded.handle,
-            lambda: entry.tables.current.limits,
-            timers.now,
-        )
-        await nursery.start(forwarded_server.run)
-    await nursery.start(entry.run)
-    return server
-
-
-async def _start_metrics(
-    metrics: RelayMetrics,
-    settings: RelaySettings,
-    timers: TrioTimers,
-    nursery: trio.Nursery,
-) -> None:
-    host = settings.peer_address.rpartition(":")[0]
-    server = Http1Server(
-        f"{host}:{METRICS_PORT}",
-        MetricsHandler(metrics).handle,
-        CallerLimits,
-        timers.now,
-    )
-    await nursery.start(server.run)
-
-
 async def _ignore_reload() -> None:
     """Ignore SIGHUP: changed settings take effect at the next start."""
     with trio.open_signal_receiver(signal.SIGHUP) as signals:
@@ -260,46 +259,8 @@
 async def _wait_for_stop_signal() -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for number in signals:
-            event = SignalReceived(signal.Signals(number).name, is_stopping=False)
-            logging.info("daemon: %s", event)
-            return
-
-
-async def _leave_group(
-    control: "ControlHost", settings: RelaySettings, timers: TrioTimers
-) -> None:
-    """Hand over the vote and the lead while there is time before the kill."""
-    with timers.move_on_after(_GRACE_SHARE * settings.bounds.grace_seconds):
-        await control.leave()
-
-
-async def _drain(
-    entry: "EntryHost",
-    server: Http1Server,
-    settings: RelaySettings,
-    timers: TrioTimers,
-) -> None:
-    """Answer requests in flight and those from callers with cached addresses.
-
-    Requests of other entry hosts that this one works on count, too.
-    """
-    entry.leave()
-    server.announce_closing()
-    started = timers.now()
-    grace = _GRACE_SHARE * settings.bounds.grace_seconds
-    cached_seconds = min(_MAX_DIRECTORY_LIFETIMES * _DIRECTORY_SECONDS, grace)
-    while True:
-        await timers.sleep(_POLL_SECONDS)
-        elapsed = timers.now() - started
-        pending = server.pending_work
-        is_busy = pending.in_progress or entry.forwarded.in_flight
-        if elapsed >= grace or (elapsed >= cached_seconds and not is_busy):
-            event = DrainEnded(
-                reason="grace_over" if elapsed >= grace else "idle",
-                after_ms=round(1000 * elapsed),
-                in_progress=pending.in_progress + entry.forwarded.in_flight,
-                unread=pending.unread,
-                unaccepted=pending.unaccepted,
+            event = SignalReceived(
+                signal=signal.Signals(number).name, is_stopping=False
             )
             logging.info("daemon: %s", event)
             return
--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -71,7 +71,7 @@
         resumptions: Resumptions,
         timers: Timers,
         rng: random.Random,
-        accepts_streams: Callable[[], bool],
+        accepts: Callable[[float], bool],
     ):
         self._wire = wire
         self._tables = tables
@@ -90,7 +90,11 @@
         self._resumptions = resumptions
         self._timers = timers
         self._rng = rng
-        self._accepts_streams = accepts_streams
+        # Whether a request with this deadline is taken, as this host may be stopping.
+        self._accepts = accepts
+        # Scopes of the requests in progress.
+        self._scopes: set[trio.CancelScope] = set()
+        self._has_ended = False
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request; raise `CallerGone` if its caller disconnects."""
@@ -114,6 +118,15 @@
             exchange, is_forwarded=True, attempts=attempts, origin=origin
         )
 
+    def end(self) -> None:
+        """Answer all requests in progress as failed, and refuse all further ones.
+
+        Answers that have begun break off.
+        """
+        self._has_ended = True
+        for scope in self._scopes:
+            scope.cancel()
+
     async def _handle(
         self,
         exchange: Exchange,
@@ -131,6 +144,7 @@
             request.is_admitted_elsewhere = attempts is not None
             request.attempt_count = attempts or 0
             request.origin = origin
+            self._check_time_left(request)
             if is_forwarded and self._contact.is_cut_off_from(request.service.name):
                 raise Declined
             await self._serve(request)
@@ -237,12 +251,15 @@
         request.on_attempt_failed = partial(self._recorder.record_failed, request)
         return request
 
+    def _check_time_left(self, request: RelayedRequest) -> None:
+        """Raise `Failure` if this host may stop before the request's deadline."""
+        if self._has_ended or not self._accepts(request.deadline):
+            text = "This host is about to end."
+            raise Failure(Code.DRAINING, text, retry_after=0.0)
+
     async def _admit(self, request: RelayedRequest) -> None:
         """Charge the request to its quota; raise `Failure` if it's refused."""
         self._crash_guard.check(request)
-        if request.route.is_stream and not self._accepts_streams():
-            text = "This host is about to end."
-            raise Failure(Code.DRAINING, text, retry_after=0.0)
         if request.workspace is not None and not request.is_admitted_elsewhere:
             await self._charge_quota(request, request.workspace)
 
@@ -301,16 +318,22 @@
         request: RelayedRequest,
         work: Callable[[RelayedRequest], Awaitable[object]],
     ) -> None:
-        """Work on a request until its deadline expires or its caller leaves.
+        """Work on a request until its deadline, or its caller or this host leaves.
 
         Raise `Failure` or `CallerGone` in these cases, unless it was answered.
         """
         remaining = request.deadline - self._timers.now()
         with self._timers.move_on_after(remaining) as scope:
-            request.exchange.cancel_when_disconnected(scope)
-            await work(request)
+            self._scopes.add(scope)
+            try:
+                request.exchange.cancel_when_disconnected(scope)
+                await work(request)
+            finally:
+                self._scopes.discard(scope)
         if request.is_answered or not scope.cancelled_caught:
             return
+        if self._has_ended:
+            self._raise_ended(request)
         if not self._is_expired(request):
             raise CallerGone
         self._raise_expired(request)
@@ -424,6 +447,16 @@
         retry_after = _bounded_retry_after(self._hold_seconds(request))
         raise Failure(Code.NO_UPSTREAM, text, retry_after=retry_after)
 
+    def _raise_ended(self, request: RelayedRequest) -> None:
+        """Raise the `Failure` of a request in progress when this host ends."""
+        if request.exchange.has_begun:
+            raise _broken_answer()
+        execution = Execution.NOT_RUN
+        if request.may_have_run or request.is_in_flight:
+            execution = Execution.MAY_HAVE_RUN
+        text = "This host ended before the answer came."
+        raise Failure(Code.DRAINING, text, execution=execution, retry_after=0.0)
+
     def _raise_expired(self, request: RelayedRequest) -> None:
         """Raise the `Failure` of a request whose deadline has expired."""
         if request.exchange.has_begun:
