Receive signals from the start of a process to its end

Cause: a signal had its default action before the host had started, and again once the first stop signal had come.

Change: one task receives SIGTERM, SIGINT and SIGHUP from before the first listener opens until the process ends. The first of SIGTERM and SIGINT starts the drain, also while the host starts: what has started by then is drained, the rest isn't started. All others change nothing and are logged.

--- a/src/pepperstep/programs/relay_daemon.py
+++ b/src/pepperstep/programs/relay_daemon.py
@@ -7,7 +7,6 @@
 
 import os
 import random
-import signal
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
@@ -23,7 +22,6 @@
 from pepperstep.adapters.timers import TrioTimers
 from pepperstep.entities.routes import CallerLimits
 from pepperstep.errors import Failure, InvalidDocument
-from pepperstep.observability.decisions import SignalReceived
 from pepperstep.observability.relay_metrics import RelayMetrics
 from pepperstep.platform import (
     SETTINGS_VARIABLE,
@@ -39,6 +37,7 @@
 from pepperstep.programs.draining import DIRECTORY_SECONDS, Drain, DrainSchedule
 from pepperstep.programs.relay_ports import RelayPorts
 from pepperstep.programs.relay_settings import RelaySettings
+from pepperstep.stop_signals import StopSignals
 
 if TYPE_CHECKING:
     from pepperstep.programs.control_host import ControlHost
@@ -127,14 +126,32 @@
         settings.host,
         settings.peer_address,
     )
-    async with trio.open_nursery() as nursery:
-        roles = _Roles(settings, ports, decoder, nursery)
+    stop = StopSignals()
+    async with trio.open_nursery() as watching:
+        await watching.start(stop.watch)
+        async with trio.open_nursery() as nursery:
+            roles = _Roles(settings, ports, decoder, nursery)
+            await _start_unless_stopped(roles, peers, stop)
+            await stop.wait()
+            await roles.drain()
+            logging.info("daemon: Stopping.")
+            nursery.cancel_scope.cancel()
+        watching.cancel_scope.cancel()
+
+
+async def _start_unless_stopped(
+    roles: "_Roles", peers: GrpcPeers, stop: StopSignals
+) -> None:
+    """Start all parts; give up what hasn't started yet once a stop is asked for."""
+
+    async def cancel_at_stop() -> None:
+        await stop.wait()
+        starting.cancel_scope.cancel()
+
+    async with trio.open_nursery() as starting:
+        starting.start_soon(cancel_at_stop)
         await roles.start(peers)
-        nursery.start_soon(_ignore_reload)
-        await _wait_for_stop_signal()
-        await roles.drain()
-        logging.info("daemon: Stopping.")
-        nursery.cancel_scope.cancel()
+        starting.cancel_scope.cancel()
 
 
 class _Roles:
@@ -249,22 +266,5 @@
     return EntryHost(settings, ports)
 
 
-async def _ignore_reload() -> None:
-    """Ignore SIGHUP: changed settings take effect at the next start."""
-    with trio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for _ in signals:
-            logging.info("daemon: Ignored SIGHUP: settings are read at the start only.")
-
-
-async def _wait_for_stop_signal() -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            event = SignalReceived(
-                signal=signal.Signals(number).name, is_stopping=False
-            )
-            logging.info("daemon: %s", event)
-            return
-
-
 if __name__ == "__main__":
     main(sys.argv[1:])
