Keep a connection whose answer didn't announce its close

Cause: once a server was closing, each connection that had served a request was closed before its next one, whether or not the last answer had said so. Answers that say so end their connections anyway.

Change: such a connection serves one more request, whose answer says so.

--- a/src/pepperstep/adapters/http1/connection.py
+++ b/src/pepperstep/adapters/http1/connection.py
@@ -251,8 +251,6 @@
         if self._protocol.trailing_data[0]:
             self.arrived_at = self._now()
             return True
-        if self._is_closing() and self._has_served:
-            return False
         self._has_input = False
         with trio.move_on_after(self._limits().idle_seconds):
             await self._wait_for_input()
