Stop listening in one step

What callers saw: in a trial with real daemons at 900 requests a second (more than the host serves) a stopping host was still listening when its time was over, which cut 200 callers' unread requests.

Cause: a closing server waited for an empty queue of new connections before it stopped listening. Each refusal makes its caller connect again, so that the queue of a saturated host is never empty.

Change: the connections that wait are accepted and the listener is closed in one step.

--- a/src/pepperstep/adapters/http1/server.py
+++ b/src/pepperstep/adapters/http1/server.py
@@ -64,6 +64,7 @@
         self._now = now
         self._body_budget = BodyBudget(_MAX_BODY_BYTES)
         self._listener: trio.socket.SocketType | None = None
+        self._accepting = trio.CancelScope()
         self._connections: set[CallerConnection] = set()
         self._is_closing = False
 
@@ -92,7 +93,9 @@
         try:
             async with trio.open_nursery() as nursery:
                 task_status.started()
-                await self._accept(listener, nursery)
+                with self._accepting:
+                    await self._accept(listener, nursery)
+                self._accept_last(listener, nursery)
         finally:
             listener.close()
 
@@ -107,11 +110,8 @@
         that have arrived are still passed to the handler.
         """
         self._is_closing = True
-        while self._has_unaccepted():
-            await trio.sleep(_CLOSE_POLL_SECONDS)
-        if self._listener is not None:
-            self._listener.close()
-        while self._connections:
+        self._accepting.cancel()
+        while self._connections or self._is_listening:
             for connection in list(self._connections):
                 connection.close_if_idle()
             await trio.sleep(_CLOSE_POLL_SECONDS)
@@ -122,8 +122,6 @@
         while True:
             try:
                 sock, _ = await listener.accept()
-            except trio.ClosedResourceError:
-                return
             except ConnectionError:
                 continue
             except OSError as error:
@@ -132,20 +130,49 @@
                 )
                 await trio.sleep(_ACCEPT_PAUSE_SECONDS)
                 continue
-            connection = CallerConnection(
-                sock,
-                self._handler,
-                self._limits,
-                self._now,
-                lambda: self._is_closing,
-                self._body_budget,
-            )
-            self._connections.add(connection)
-            nursery.start_soon(self._serve, connection, sock)
+            self._add_connection(sock, nursery)
+
+    def _accept_last(
+        self, listener: trio.socket.SocketType, nursery: trio.Nursery
+    ) -> None:
+        """Accept the connections that wait, and stop listening.
+
+        Both happen in one step. Callers that connect again and again would otherwise
+        keep the listener open, and closing it resets the connections that wait.
+        """
+        with socket.socket(fileno=listener.detach()) as waiting:
+            while True:
+                try:
+                    sock, _ = waiting.accept()
+                except ConnectionError:
+                    continue
+                except OSError:
+                    # None is left, or none can be accepted for lack of descriptors.
+                    return
+                sock.setblocking(False)
+                self._add_connection(trio.socket.from_stdlib_socket(sock), nursery)
+
+    def _add_connection(
+        self, sock: trio.socket.SocketType, nursery: trio.Nursery
+    ) -> None:
+        connection = CallerConnection(
+            sock,
+            self._handler,
+            self._limits,
+            self._now,
+            lambda: self._is_closing,
+            self._body_budget,
+        )
+        self._connections.add(connection)
+        nursery.start_soon(self._serve, connection, sock)
+
+    @property
+    def _is_listening(self) -> bool:
+        return self._listener is not None and self._listener.fileno() >= 0
 
     def _has_unaccepted(self) -> bool:
         """Whether a connection waits to be accepted."""
-        if self._listener is None or self._listener.fileno() < 0:
+        if not self._is_listening:
             return False
         poll = select.poll()
         poll.register(self._listener.fileno(), select.POLLIN)
