Count a drain's time from the signal, and leave a saturated host time to close

Cause: a drain's times counted from the moment at which a task saw the signal, which takes some 0.3 s on a saturated host; and 0.04 of the grace period for closing is little there.

Change: the time of the signal itself counts. Requests are answered within 0.92 of the grace period in place of 0.93.

--- a/src/pepperstep/programs/draining.py
+++ b/src/pepperstep/programs/draining.py
@@ -26,14 +26,14 @@
 _ANY_LENGTH_SECONDS = 2.5
 _ANY_LENGTH_SHARE = 0.3125
 # Shares of the grace period, which ends with the kill.
-_ANSWERED_SHARE = 0.93
+_ANSWERED_SHARE = 0.92
 _CLOSED_SHARE = 0.97
 _POLL_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
 class DrainSchedule:
-    """Times of a drain in seconds after its start."""
+    """Times of a drain in seconds after the stop signal."""
 
     # Callers may have this host's address until then.
     addressed: float
@@ -71,16 +71,16 @@
         return elapsed < self.any_length or elapsed + remaining <= self.answered
 
 
-def _do_nothing() -> None:
+def _do_nothing(*_) -> None:
     pass
 
 
 class Drain:
     """Ends a host's work and closes its connections, so that no request is cut.
 
-    `start_leaving` tells others that this host stops, `hand_over` returns once they
-    have taken over what it holds, and `end_work` answers what is still in progress and
-    refuses what comes.
+    `start_leaving` tells others that this host stops since a time, `hand_over` returns
+    once they have taken over what it holds, and `end_work` answers what is still in
+    progress and refuses what comes.
     """
 
     def __init__(
@@ -89,7 +89,7 @@
         schedule: DrainSchedule,
         timers: Timers,
         *,
-        start_leaving: Callable[[], None] = _do_nothing,
+        start_leaving: Callable[[float], None] = _do_nothing,
         hand_over: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint,
         end_work: Callable[[], None] = _do_nothing,
     ):
@@ -101,12 +101,15 @@
         self._timers = timers
         self._started_at = 0.0
 
-    async def run(self) -> None:
-        """Return once all connections are closed, or when their time is over."""
-        self._started_at = self._timers.now()
+    async def run(self, started_at: float) -> None:
+        """Return once all connections are closed, or when their time is over.
+
+        `started_at` is the time of the stop signal.
+        """
+        self._started_at = started_at
         for server in self._servers:
             server.announce_closing()
-        self._start_leaving()
+        self._start_leaving(started_at)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._end_work_in_time)
             await self._wait_idle()
@@ -130,14 +133,14 @@
 
         Requests may still come: closing the servers finds those.
         """
-        with self._timers.move_on_after(self._schedule.answered):
+        with self._timers.move_on_after(self._schedule.answered - self._elapsed):
             await self._hand_over()
             await self._timers.sleep(self._schedule.addressed - self._elapsed)
             while self._pending:
                 await self._timers.sleep(_POLL_SECONDS)
 
     async def _end_work_in_time(self) -> None:
-        await self._timers.sleep(self._schedule.answered)
+        await self._timers.sleep(self._schedule.answered - self._elapsed)
         self._end_work()
 
     def _record_end(self) -> None:
--- a/src/pepperstep/programs/entry_host.py
+++ b/src/pepperstep/programs/entry_host.py
@@ -274,11 +274,11 @@
         without = own if self._leaving_since is not None else ""
         return self.sync.directory.addresses(zone, without)
 
-    def leave(self) -> None:
+    def leave(self, since: float) -> None:
         """Leave the directory for callers; requests are taken if there is time left."""
         if self._leaving_since is None:
             logging.info("entry: Leaving.")
-            self._leaving_since = self._timers.now()
+            self._leaving_since = since
             self.sync.sync_now()
 
     def _make_owners(self, ports: RelayPorts) -> KeyOwners:
--- a/src/pepperstep/programs/relay_daemon.py
+++ b/src/pepperstep/programs/relay_daemon.py
@@ -126,14 +126,13 @@
         settings.host,
         settings.peer_address,
     )
-    stop = StopSignals()
+    stop = StopSignals(timers.now)
     async with trio.open_nursery() as watching:
         await watching.start(stop.watch)
         async with trio.open_nursery() as nursery:
             roles = _Roles(settings, ports, decoder, nursery)
             await _start_unless_stopped(roles, peers, stop)
-            await stop.wait()
-            await roles.drain()
+            await roles.drain(await stop.wait())
             logging.info("daemon: Stopping.")
             nursery.cancel_scope.cancel()
         watching.cancel_scope.cancel()
@@ -189,8 +188,11 @@
         for host in filter(None, (self._entry, self._control)):
             await self._start_metrics(host.metrics)
 
-    async def drain(self) -> None:
-        """Return once no request would be cut, or shortly before the kill."""
+    async def drain(self, started_at: float) -> None:
+        """Return once no request would be cut, or shortly before the kill.
+
+        `started_at` is the time of the stop signal.
+        """
         actions = {}
         if self._entry is not None:
             actions["start_leaving"] = self._entry.leave
@@ -200,7 +202,9 @@
         schedule = DrainSchedule.from_config(
             self._settings.bounds, has_addresses_cached=self._serves_callers
         )
-        await Drain(self._servers, schedule, self._ports.timers, **actions).run()
+        await Drain(self._servers, schedule, self._ports.timers, **actions).run(
+            started_at
+        )
 
     async def _start_control(self, control: "ControlHost") -> None:
         role = self._settings.control
--- a/src/pepperstep/stop_signals.py
+++ b/src/pepperstep/stop_signals.py
@@ -1,6 +1,7 @@
 """Signals of a daemon: when to stop, and which ones change nothing."""
 
 import signal
+from collections.abc import Callable
 
 import trio
 from absl import logging
@@ -10,6 +11,7 @@
 __all__ = ["StopSignals"]
 
 _STOPS = (signal.SIGTERM, signal.SIGINT)
+_SIGNALS = (*_STOPS, signal.SIGHUP)
 
 
 class StopSignals:
@@ -17,25 +19,44 @@
 
     SIGTERM or SIGINT asks for a stop. Once asked for, the stop takes its course: the
     signals' default actions would cut requests in progress. SIGHUP changes nothing, as
-    settings are read at the start only.
+    settings are read at the start only. `now` returns the monotonic time.
     """
 
-    def __init__(self):
+    def __init__(self, now: Callable[[], float]):
+        self._now = now
         self._requested = trio.Event()
+        self._requested_at = 0.0
 
-    async def wait(self) -> None:
-        """Return once a stop was asked for."""
+    async def wait(self) -> float:
+        """Return the time at which a stop was asked for, once it was.
+
+        It is the time of the signal, which a busy host's tasks see later.
+        """
         await self._requested.wait()
+        return self._requested_at
 
     async def watch(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Receive signals until cancelled."""
-        with trio.open_signal_receiver(*_STOPS, signal.SIGHUP) as signals:
+        """Receive signals until cancelled; they are ignored afterwards."""
+        token = trio.lowlevel.current_trio_token()
+
+        def handle(number: int, _) -> None:
+            token.run_sync_soon(self._receive, number, self._now())
+
+        for each in _SIGNALS:
+            signal.signal(each, handle)
+        try:
             task_status.started()
-            async for number in signals:
-                event = SignalReceived(
-                    signal=signal.Signals(number).name,
-                    is_stopping=self._requested.is_set(),
-                )
-                logging.info("daemon: %s", event)
-                if number in _STOPS:
-                    self._requested.set()
+            await trio.sleep_forever()
+        finally:
+            for each in _SIGNALS:
+                signal.signal(each, signal.SIG_IGN)
+
+    def _receive(self, number: int, received_at: float) -> None:
+        event = SignalReceived(
+            signal=signal.Signals(number).name,
+            is_stopping=self._requested.is_set(),
+        )
+        logging.info("daemon: %s", event)
+        if number in _STOPS and not self._requested.is_set():
+            self._requested_at = received_at
+            self._requested.set()
