Serve a request that a busy host sees together with its idle time-out

What callers saw: a request on a kept connection was lost unread though it had arrived before the connection's idle time-out, when the host was busy at that moment.

Cause: the time-out closed the connection if no task had read the request yet. Like a drain's end, it took what a task had seen for what had arrived.

Change: the socket is looked at before an idle connection is closed.

--- a/src/pepperstep/adapters/http1/connection.py
+++ b/src/pepperstep/adapters/http1/connection.py
@@ -254,10 +254,11 @@
         self._has_input = False
         with trio.move_on_after(self._limits().idle_seconds):
             await self._wait_for_input()
-        if not self._has_input:
-            return False
+        if not self._has_input and self._is_readable():
+            # A busy host sees a request only after the time-out.
+            await self._wait_for_input()
         self.arrived_at = self._now()
-        return True
+        return self._has_input
 
     async def _wait_for_input(self) -> None:
         """Return once data was received that isn't parsed, or the caller is gone."""
--- a/tests/relaying/test_draining.py
+++ b/tests/relaying/test_draining.py
@@ -1,13 +1,16 @@
 """A stopping host takes only what it finishes, and closes only what is idle."""
 
 import socket
+import time
 from contextlib import asynccontextmanager
 
 import pytest
 import trio
+import trio.testing
 from hypothesis import given, strategies as st
 
 from pepperstep.adapters.http1 import Http1Server
+from pepperstep.entities.routes import CallerLimits
 from pepperstep.fakes.relaying import FakeExchange, Reply
 from pepperstep.ports.exchange import Answer
 from pepperstep.programs.draining import DrainSchedule
@@ -232,3 +235,21 @@
             caller.recv(4_096)
         await close(server)
         assert [await receive(caller) for caller in callers] == [b""] * 3
+
+
+async def test_request_that_meets_the_idle_time_out_is_lost():
+    handler = Handler()
+    limits = CallerLimits(idle_seconds=2.0)
+    async with open_server(handler.handle, limits) as (address, _):
+        callers = [connect(address) for _ in range(10)]
+        for caller in callers:
+            await trio.lowlevel.wait_readable(caller)
+            caller.recv(4_096)
+        await trio.testing.wait_all_tasks_blocked()
+        for caller in callers:
+            caller.sendall(VALID_REQUEST)
+        # A host that is busy sees the requests and the time-outs together.
+        time.sleep(2.1)
+        for caller in callers:
+            await trio.lowlevel.wait_readable(caller)
+            assert caller.recv(4_096).startswith(b"HTTP/1.1 200")
