End a stopping host once nobody needs it, whatever callers go on calling

What operators saw: a control host that had handed over its lead or its vote within tenths of a second ran on until the end of the grace period, and at times was killed at it, while operators and upstreams went on calling on open connections.

Cause: after the handover the drain waited for a look at which no request was in progress. Operators, upstreams and directory queries on a dozen connections leave no such moment.

Change: once the handover is done and no caller has the host's addresses any longer, the servers close at once. Closing them already answers what is in progress or has arrived, and accepts what waits.

--- a/src/pepperstep/programs/draining.py
+++ b/src/pepperstep/programs/draining.py
@@ -28,7 +28,6 @@
 # Shares of the grace period, which ends with the kill.
 _ANSWERED_SHARE = 0.92
 _CLOSED_SHARE = 0.97
-_POLL_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +111,7 @@
         self._start_leaving(started_at)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._end_work_in_time)
-            await self._wait_idle()
+            await self._wait_unneeded()
             with self._timers.move_on_after(self._schedule.closed - self._elapsed):
                 async with trio.open_nursery() as closing:
                     for server in self._servers:
@@ -128,16 +127,15 @@
     def _pending(self) -> PendingWork:
         return sum((each.pending_work for each in self._servers), PendingWork())
 
-    async def _wait_idle(self) -> None:
-        """Return once the host seems idle and nobody needs it, or its time is over.
+    async def _wait_unneeded(self) -> None:
+        """Return once nobody needs this host's addresses, or its time is over.
 
-        Requests may still come: closing the servers finds those.
+        Requests may be in progress and still come: closing the servers answers those.
+        Waiting until there are none would hold a host for as long as callers call.
         """
         with self._timers.move_on_after(self._schedule.answered - self._elapsed):
             await self._hand_over()
             await self._timers.sleep(self._schedule.addressed - self._elapsed)
-            while self._pending:
-                await self._timers.sleep(_POLL_SECONDS)
 
     async def _end_work_in_time(self) -> None:
         await self._timers.sleep(self._schedule.answered - self._elapsed)
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -27,6 +27,7 @@
     Exchange,
     RequestHead,
 )
+from pepperstep.programs.relay_daemon import METRICS_PORT
 
 __all__ = ["Daemon", "Received", "Site", "StandInUpstream"]
 
@@ -185,6 +186,19 @@
         """Return the address at which an entry host accepts callers' requests."""
         return f"{self.daemons[name].ip}:{self._port + 3}"
 
+    def control_address(self, name: str, port: int) -> str:
+        """Return a control host's address, for directory queries with port 2.
+
+        Port 1 is for operators and upstreams.
+        """
+        return f"{self.daemons[name].ip}:{self._port + port}"
+
+    async def leads(self, name: str) -> bool:
+        """Whether a control host says that it leads the group."""
+        address = f"{self.daemons[name].ip}:{METRICS_PORT}"
+        received = await self._send_to(address, b"GET", "/metrics")
+        return received is not None and b"\npepperstep_is_leader 1.0\n" in received.body
+
     async def upstream(
         self,
         name: str,
@@ -314,10 +328,21 @@
         path: str,
         body: bytes = b"",
         headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> Received | None:
+        address = f"{ip}:{self._port + port}"
+        return await self._send_to(address, method, path, body, headers)
+
+    async def _send_to(
+        self,
+        address: str,
+        method: bytes,
+        path: str,
+        body: bytes = b"",
+        headers: tuple[tuple[bytes, bytes], ...] = (),
     ) -> Received | None:
         head = RequestHead(method, path.encode(), ((b"host", b"a.example"), *headers))
         try:
-            connection = await self._connector.connect(f"{ip}:{self._port + port}", 2.0)
+            connection = await self._connector.connect(address, 2.0)
         except ConnectionFault:
             return None
         try:
