Refuse reads at a replaced control host at once

What operators saw: a read of the configuration or of a roll-out at a control host that had just been replaced waited for 0.8 s of the second that they wait, and then got 503.

Cause: a read waits until this host has applied what the leader has committed. A host that the group has replaced gets no more entries, so that the wait always ran out.

Change: the host records that it isn't a member any longer when the leader tells it so. Reads that wait for an entry then end with 503 (no_quorum), and later ones that need one do so at once. None is stale.

--- a/src/pepperstep/consensus/handover.py
+++ b/src/pepperstep/consensus/handover.py
@@ -116,6 +116,7 @@
         identity = self._replica.identity
         leader = self._follower.leader
         if identity not in self._replica.membership.members:
+            self._replica.mark_removed()
             return True
         if leader in ("", identity.name):
             return False
@@ -127,9 +128,11 @@
             return False
         if not reply.is_leader or reply.outcome == _Outcome.PENDING:
             return False
+        is_replaced = reply.outcome == _Outcome.REMOVED
+        if is_replaced:
+            self._replica.mark_removed()
         logging.info(
-            "consensus: Leaving: %s.",
-            "replaced" if reply.outcome == _Outcome.REMOVED else "no host is free",
+            "consensus: Leaving: %s.", "replaced" if is_replaced else "no host is free"
         )
         return True
 
--- a/src/pepperstep/consensus/replica.py
+++ b/src/pepperstep/consensus/replica.py
@@ -50,6 +50,7 @@
         self._pending: dict[bytes, PendingProposal] = {}
         self._committed = trio.Event()
         self._applied = trio.Event()
+        self._is_removed = False
         self._snapshot_due = trio.Event()
         self._bytes_since_snapshot = 0
         self._snapshot_failures = WriteFailures("consensus", "a snapshot")
@@ -159,10 +160,21 @@
         self._pending.clear()
 
     async def wait_applied(self, index: int) -> None:
-        """Return once the entry at `index` is applied."""
+        """Return once the entry at `index` is applied.
+
+        Raise `Failure` with `NO_QUORUM` if this host gets no more entries.
+        """
         while self.applied_index < index:
+            if self._is_removed:
+                text = "This host is no member, and gets no more entries."
+                raise Failure(Code.NO_QUORUM, text)
             await self._applied.wait()
 
+    def mark_removed(self) -> None:
+        """Record that this host isn't a member any longer and gets no more entries."""
+        self._is_removed = True
+        self._notify_applied()
+
     def install_snapshot(self, snapshot: pb.LogSnapshot) -> None:
         """Replace the state by a leader's snapshot if that is newer."""
         if snapshot.index <= self.commit_index:
--- a/tests/relaying/test_handover.py
+++ b/tests/relaying/test_handover.py
@@ -1,11 +1,12 @@
 """Control hosts that stop hand over what they hold to hosts that replace them."""
 
 import json
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 import trio
 
+from pepperstep.errors import Failure
 from tests.relaying.world import World, document, open_world
 
 SEEDS = ("c0:1", "c1:1", "c2:1")
@@ -192,3 +193,26 @@
             await wait_leader(world)
         data = await world.controls[world.leader].read_table()
         assert json.loads(data) == json.loads(document(2))
+
+
+@pytest.mark.parametrize("role", ["leader", "follower"])
+async def test_replaced_host_holds_reads_that_it_cannot_answer(autojump_clock, role):
+    async with open_group(1) as world:
+        name = pick(world, role)
+        host = world.controls[name]
+        seconds = []
+
+        async def read() -> None:
+            begin = trio.current_time()
+            with suppress(Failure):
+                assert json.loads(await host.read_table())["version"] == 2
+            seconds.append(trio.current_time() - begin)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(host.leave)
+            for _ in range(200):
+                nursery.start_soon(read)
+                await trio.sleep(0.01)
+        assert name not in voters(world)
+        # Operators ask another host after a second; an election takes a part of it.
+        assert max(seconds) < 0.5
