Answer calls that a stopping control host can't finish

What operators would see: a call at a control host whose handover took all of its time ended without an answer when the host ended, as only callers' requests were answered then.

Cause: the drain's last action, which answers what is in progress and refuses what comes, was that of the entry host alone.

Change: the handler of operators' and upstreams' calls has the same action: calls in progress get 503, which doesn't deny that an order takes effect, and later ones are refused at once.

--- a/src/pepperstep/platform/calls.py
+++ b/src/pepperstep/platform/calls.py
@@ -7,6 +7,7 @@
 from urllib.parse import parse_qs
 
 import msgspec
+import trio
 from absl import logging
 
 from pepperstep.coordination import Announcement
@@ -136,12 +137,24 @@
     def __init__(self, operations: Operations, decoder: TableDecoder | None = None):
         self._operations = operations
         self._decoder = decoder or TableDecoder()
+        # Scopes of the calls in progress.
+        self._scopes: set[trio.CancelScope] = set()
+        self._has_ended = False
+
+    def end(self) -> None:
+        """Answer all calls in progress with 503, and refuse all further ones.
+
+        An order in progress may still take effect: 503 doesn't deny that.
+        """
+        self._has_ended = True
+        for scope in self._scopes:
+            scope.cancel()
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one call."""
         call = _Call.from_exchange(exchange)
         try:
-            answer = await self._answer(call)
+            answer = await self._answer_unless_ended(call)
         except InvalidDocument as error:
             logging.info("operators: Configuration refused: %s", error.text)
             answer = _error(400, error)
@@ -151,6 +164,17 @@
             answer = _error(status, failure)
         await exchange.answer(answer)
 
+    async def _answer_unless_ended(self, call: _Call) -> Answer:
+        """Return the answer; raise `Failure` with `DRAINING` once `end` is called."""
+        with trio.CancelScope() as scope:
+            self._scopes.add(scope)
+            try:
+                if not self._has_ended:
+                    return await self._answer(call)
+            finally:
+                self._scopes.discard(scope)
+        raise Failure(Code.DRAINING, "This host ends.")
+
     async def _answer(self, call: _Call) -> Answer:
         if call.path.startswith(names.HEARTBEAT):
             return await self._handle_heartbeat(call)
--- a/src/pepperstep/programs/relay_daemon.py
+++ b/src/pepperstep/programs/relay_daemon.py
@@ -173,6 +173,8 @@
         self._servers: list[Http1Server] = []
         self._entry: EntryHost | None = None
         self._control: ControlHost | None = None
+        # Answer what is in progress when a stopping host's time is over.
+        self._end_actions: list[Callable[[], None]] = []
         # Whether the entry host has started, after which callers learn its address.
         self._serves_callers = False
 
@@ -193,10 +195,9 @@
 
         `started_at` is the time of the stop signal.
         """
-        actions = {}
+        actions = {"end_work": self._end_work}
         if self._entry is not None:
             actions["start_leaving"] = self._entry.leave
-            actions["end_work"] = self._entry.relay.end
         if self._control is not None:
             actions["hand_over"] = self._control.leave
         schedule = DrainSchedule.from_config(
@@ -206,9 +207,14 @@
             started_at
         )
 
+    def _end_work(self) -> None:
+        for end in self._end_actions:
+            end()
+
     async def _start_control(self, control: "ControlHost") -> None:
         role = self._settings.control
         handler = ControlHandler(control, self._decoder)
+        self._end_actions.append(handler.end)
         await self._serve(
             role.operator_address, handler.handle, lambda: _OPERATOR_LIMITS
         )
@@ -218,6 +224,7 @@
 
     async def _start_entry(self, entry: "EntryHost") -> None:
         role = self._settings.entry
+        self._end_actions.append(entry.relay.end)
 
         def limits() -> CallerLimits:
             return entry.tables.current.limits
