--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -46,6 +46,7 @@
 
 _BROKEN = "tests/relaying/test_broken_answers.py::"
 _VERSIONS = "tests/relaying/test_stream_versions.py::"
+_DRAINING = "tests/relaying/test_draining.py::"
 
 RELAY_MECHANISMS = (
     Mechanism(
@@ -769,4 +770,45 @@
         "state.is_unused = False",
         (f"{_AUTOSCALER}test_unused_upstreams_are_released_at_system_start",),
     ),
+    Mechanism(
+        6,
+        "a stopping host takes only what ends before it does",
+        "programs/draining.py",
+        "elapsed < self.any_length or elapsed + remaining <= self.answered",
+        "True",
+        (f"{_DRAINING}test_request_is_taken_late_or_refused_early",),
+    ),
+    Mechanism(
+        6,
+        "what is in progress when a host ends is answered",
+        "relay/relay.py",
+        "        for scope in self._scopes:\n            scope.cancel()",
+        "        pass",
+        (f"{_DRAINING}test_request_in_progress_at_the_end_is_cut",),
+    ),
+    Mechanism(
+        6,
+        "connections that wait are accepted before a listener is closed",
+        "adapters/http1/server.py",
+        "                self._accept_last(listener, nursery)",
+        "                listener.close()",
+        (f"{_DRAINING}test_connections_that_wait_are_reset_by_closing",),
+    ),
+    Mechanism(
+        6,
+        "only idle connections of a closing server are closed",
+        "adapters/http1/connection.py",
+        "        if not self.has_unread_request:\n            self._sock.close()",
+        "        self._sock.close()",
+        (f"{_DRAINING}test_unread_request_of_a_kept_connection_is_cut_by_closing",),
+    ),
+    Mechanism(
+        6,
+        "a second stop signal changes nothing",
+        "stop_signals.py",
+        "            self._requested.set()",
+        "            self._requested.set()\n"
+        "            signal.signal(number, signal.SIG_DFL)",
+        ("tests/wire/test_stopping_hosts.py",),
+    ),
 )
