Receive the daemon's signals from its start to its end

What callers saw: SIGHUP ended pepperstepd at once, also during a drain, and cut what it relayed. In a trial (SIGTERM, SIGHUP 0.5 s later, 20 connections) 9 connections ended without an answer; the service had got all 9 requests, which must not be repeated.

Cause: SIGHUP had its default action. SIGTERM and SIGINT had theirs until the node had started, and again once the drain was over, while the process ended.

Change: StopSignals receives all three from before the first listener opens. The first SIGTERM or SIGINT starts the drain, all else changes nothing.

--- a/src/pepperstep/daemon.py
+++ b/src/pepperstep/daemon.py
@@ -2,7 +2,6 @@
 
 import random
 import secrets
-import signal
 import ssl
 import sys
 from pathlib import Path
@@ -22,6 +21,7 @@
 from pepperstep.node import Node, Ports
 from pepperstep.observability.logs import LogFormat, set_up_logs
 from pepperstep.settings import Settings, TlsSettings, read_settings
+from pepperstep.stop_signals import StopSignals
 
 __all__ = ["main"]
 
@@ -75,6 +75,14 @@
 
 
 async def _run(settings: Settings) -> None:
+    stop = StopSignals(trio.current_time)
+    async with trio.open_nursery() as watching:
+        await watching.start(stop.watch)
+        await _run_until_stopped(settings, stop)
+        watching.cancel_scope.cancel()
+
+
+async def _run_until_stopped(settings: Settings, stop: StopSignals) -> None:
     rng = random.Random(secrets.randbits(64))
     peers = GrpcPeers(
         settings.host.name, settings.host.peer_address, _peer_credentials(settings.tls)
@@ -84,7 +92,7 @@
     async with trio.open_nursery() as nursery:
         await nursery.start(peers.serve)
         await nursery.start(node.run)
-        nursery.start_soon(_drain_at_signal, node)
+        nursery.start_soon(_drain_at_stop, node, stop)
         nursery.start_soon(
             propose_first_documents,
             settings.documents,
@@ -113,10 +121,9 @@
     await serve_api(api, settings, lambda: node.configuration.limits, is_drained.wait)
 
 
-async def _drain_at_signal(node: Node) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            node.start_drain()
+async def _drain_at_stop(node: Node, stop: StopSignals) -> None:
+    await stop.wait()
+    node.start_drain()
 
 
 def _make_ports(settings: Settings, peers: GrpcPeers, rng: random.Random) -> Ports:
