Refuse new requests once a leaving host has served on

What callers saw: a host that drains took requests as long as they came, although INTERFACES.md promises `draining`. With callers without a pause its drain lasted until its time was over (21.0 s in the test, 1 s of them for cached addresses); then it handed over or cut what it had just taken.

Cause: nothing ended the taking of work but the closing of connections at the end.

Change: after entry_hosts_seconds a request is refused with `draining`, at once: `not_run`, or `may_have_run` if it has an Idempotency-Key, as an earlier one with the key may have run. What was taken before is finished.

--- a/src/pepperstep/node.py
+++ b/src/pepperstep/node.py
@@ -192,11 +192,12 @@
         """Leave without aborting a request.
 
         The host leaves the list of entry hosts at once and keeps serving for as long
-        as callers cache that list. Requests that still run at the end of the drain's
-        time limit are handed over to their second hosts.
+        as callers cache that list. Then it refuses new requests. Those that still run
+        at the end of the drain's time limit are handed over to their second hosts.
         """
         await self.directory.leave()
         await self.timers.sleep(self.configuration.limits.entry_hosts_seconds)
+        self.requests.stop_accepting()
         with self.timers.move_on_after(self._settings.requests.drain_seconds):
             while self.requests.running:
                 await self.timers.sleep(_DRAIN_POLL_SECONDS)
--- a/src/pepperstep/requests/service.py
+++ b/src/pepperstep/requests/service.py
@@ -7,7 +7,7 @@
 from absl import logging
 
 from pepperstep.entities import Host, Request
-from pepperstep.errors import Code, Failure
+from pepperstep.errors import Code, Execution, Failure
 from pepperstep.observability.explanations import Explanations, StepKind
 from pepperstep.observability.recorder import Recorder
 from pepperstep.ports import Agreement, PeerNetwork, Timers
@@ -125,6 +125,7 @@
             explanations,
         )
         self._nursery: trio.Nursery | None = None
+        self._is_accepting = True
         peers.handle(journal_pb2.OpenLink, self._backup_records.handle_open)
         peers.handle(journal_pb2.JournalBatch, self._backup_records.handle_batch)
         peers.handle(journal_pb2.ForgetLink, self._backup_records.handle_forget)
@@ -158,6 +159,8 @@
         answers the caller. Raise `Failure` if no request will answer; this one has then
         not run.
         """
+        if not self._is_accepting:
+            raise _draining_failure(request)
         self._router.check(request)
         self._recovery.guard.check(request)
         submission = _Submission(Run(request))
@@ -171,6 +174,10 @@
             return submission.run
         return EarlierRequest(submission.request_id)
 
+    def stop_accepting(self) -> None:
+        """Refuse new requests from callers; those accepted so far are finished."""
+        self._is_accepting = False
+
     def read(
         self, request_id: str, workspace: str, position: int = 0
     ) -> AsyncIterator[AnswerPart]:
@@ -389,3 +396,17 @@
             for run in self._owned.values()
             if run.request.idempotency_key and run.request.is_repeatable
         ]
+
+
+def _draining_failure(request: Request) -> Failure:
+    """Return the refusal of a host that leaves.
+
+    An earlier request with the same idempotency key may have run.
+    """
+    has_key = bool(request.idempotency_key)
+    return Failure(
+        Code.DRAINING,
+        "This host is about to end.",
+        execution=Execution.MAY_HAVE_RUN if has_key else Execution.NOT_RUN,
+        retry_after=0.0,
+    )
--- a/tests/faults/test_drains.py
+++ b/tests/faults/test_drains.py
@@ -4,9 +4,11 @@
 only waits for its own connections would cut such a request.
 """
 
+import pytest
 import trio
 
 from pepperstep.entities import RequestKind
+from pepperstep.errors import Code, Execution, Failure
 from pepperstep.fakes import answer_of
 from tests.faults.scenario import Scenario
 
@@ -14,6 +16,8 @@
 _LONG_TOKENS = 700
 # Exceeds the time for which callers may cache the list of entry hosts.
 _LONG_CALL_SECONDS = 5.0
+# Time for which callers may cache the list of entry hosts, as configured.
+_SERVE_ON_SECONDS = 1.0
 
 
 async def test_call_of_a_vanished_caller_ends(autojump_clock):
@@ -63,3 +67,43 @@
                 await hosts.start_host(name)
         assert tokens == answer_of(request)
         assert max(pauses) < 1.0, max(pauses)
+
+
+async def test_unending_callers_keep_a_drained_host_alive(autojump_clock):
+    async with Scenario.start() as scenario:
+        hosts = scenario.hosts
+        node = hosts.hosts["entry-3"].node
+        started = trio.current_time()
+        answered_at, refusals = 0.0, []
+
+        async def call_repeatedly(prefix: int) -> None:
+            nonlocal answered_at
+            number = 1000 * prefix
+            while hosts.hosts["entry-3"].node is node and not refusals:
+                number += 1
+                request = hosts.request("entry-3", number, max_tokens=50)
+                try:
+                    run = await node.requests.submit(request)
+                except Failure as failure:
+                    refusals.append(failure)
+                    return
+                _, outcome = await hosts.read("entry-3", run.id, "planners")
+                assert outcome.is_answered
+                answered_at = trio.current_time()
+
+        node.start_drain()
+        async with trio.open_nursery() as nursery:
+            for prefix in range(3):
+                nursery.start_soon(call_repeatedly, prefix)
+            await node.drain()
+            drained_after = trio.current_time() - started
+            assert drained_after < _SERVE_ON_SECONDS + 2.0
+        # The host serves until callers' lists of entry hosts have expired.
+        assert answered_at - started > _SERVE_ON_SECONDS
+        refusal = refusals[0]
+        assert (refusal.code, refusal.execution) == (Code.DRAINING, Execution.NOT_RUN)
+        # An earlier request with the key may have run.
+        keyed = hosts.request("entry-3", 9999, idempotency_key="seats")
+        with pytest.raises(Failure) as caught:
+            await node.requests.submit(keyed)
+        assert caught.value.execution is Execution.MAY_HAVE_RUN
