Finish requests that must not run twice before a handover

What callers saw: a call that may run once only and took longer than drain_seconds ended as `may_have_run` when its host was drained, although the service was about to answer.

Cause: at the end of the drain's time all requests were handed over. No other host can go on with such a request once an upstream has got it.

Change: the handover waits until none is left, at the longest until their deadlines. Requests taken since the host served on don't prolong this, as they are refused.

--- a/src/pepperstep/node.py
+++ b/src/pepperstep/node.py
@@ -193,7 +193,8 @@
 
         The host leaves the list of entry hosts at once and keeps serving for as long
         as callers cache that list. Then it refuses new requests. Those that still run
-        at the end of the drain's time limit are handed over to their second hosts.
+        at the end of the drain's time limit are handed over to their second hosts,
+        after those at an upstream that must not run twice have ended.
         """
         await self.directory.leave()
         await self.timers.sleep(self.configuration.limits.entry_hosts_seconds)
@@ -201,6 +202,8 @@
         with self.timers.move_on_after(self._settings.requests.drain_seconds):
             while self.requests.running:
                 await self.timers.sleep(_DRAIN_POLL_SECONDS)
+        while self.requests.running_once:
+            await self.timers.sleep(_DRAIN_POLL_SECONDS)
         if self.requests.running:
             await self.requests.hand_over()
 
--- a/src/pepperstep/requests/service.py
+++ b/src/pepperstep/requests/service.py
@@ -136,8 +136,20 @@
     @property
     def running(self) -> int:
         """Number of owned requests whose outcome readers can't see yet."""
+        return sum(map(_is_running, self._owned.values()))
+
+    @property
+    def running_once(self) -> int:
+        """Number of those that an upstream may run and no other host can continue.
+
+        None remains once their deadlines have passed.
+        """
+        now = self._timers.wall()
         return sum(
-            run.released_outcome is None and not run.is_lost
+            _is_running(run)
+            and run.is_dispatched
+            and not run.request.is_repeatable
+            and now < run.request.deadline
             for run in self._owned.values()
         )
 
@@ -398,6 +410,10 @@
         ]
 
 
+def _is_running(run: Run) -> bool:
+    return run.released_outcome is None and not run.is_lost
+
+
 def _draining_failure(request: Request) -> Failure:
     """Return the refusal of a host that leaves.
 
--- a/tests/faults/test_drains.py
+++ b/tests/faults/test_drains.py
@@ -16,6 +16,7 @@
 _LONG_TOKENS = 700
 # Exceeds the time for which callers may cache the list of entry hosts.
 _LONG_CALL_SECONDS = 5.0
+_LONGER_THAN_DRAIN_SECONDS = 30.0
 # Time for which callers may cache the list of entry hosts, as configured.
 _SERVE_ON_SECONDS = 1.0
 
@@ -107,3 +108,22 @@
         with pytest.raises(Failure) as caught:
             await node.requests.submit(keyed)
         assert caught.value.execution is Execution.MAY_HAVE_RUN
+
+
+async def test_call_that_may_run_once_is_lost_at_the_end_of_a_drain(autojump_clock):
+    async with Scenario.start() as scenario:
+        hosts = scenario.hosts
+        for name in ("quote-0", "quote-1"):
+            hosts.upstreams.all[name].seconds = _LONGER_THAN_DRAIN_SECONDS
+        request = hosts.request(
+            "entry-3",
+            1,
+            kind=RequestKind.SERVICE,
+            target="quote-api",
+            is_repeatable=False,
+            body=b"quote",
+        )
+        await hosts.call("entry-3", lambda node: node.requests.submit(request))
+        scenario.nursery.start_soon(hosts.drain, "entry-3")
+        _, outcome = await hosts.read("entry-1", request.id, "planners")
+        assert outcome.is_answered, outcome
