Take a reset that only the sender saw for a broken answer

What callers saw: 200 with a short body, framed as whole, from a replica that answered a large request before it had read it, without a length or chunks, and was reset.

Cause: a socket reports its error once. Sending and reading run beside each other until the head has come; if the head and the reset arrived together, the send got the error, and the next read an end. Without a length or chunks an end makes the body whole.

Change: an end that is read after a send has failed is a fault of the connection. A broken pipe isn't: the kernel reports it where the upstream's end came before the reset, so the answer is whole.

--- a/src/pepperstep/adapters/http1/client.py
+++ b/src/pepperstep/adapters/http1/client.py
@@ -72,6 +72,8 @@
         self._method = b""
         self._unsent = memoryview(b"")
         self._is_broken = False
+        # Whether sending failed because the connection was reset or timed out.
+        self._has_send_failed = False
         self.idle_since = now()
 
     async def send(self, head: RequestHead, body: bytes) -> AnswerHead:
@@ -190,8 +192,11 @@
         while self._unsent:
             try:
                 sent = await self._sock.send(self._unsent)
-            except (OSError, trio.ClosedResourceError):
-                # The reader reports the answer or a more precise error.
+            except (BrokenPipeError, trio.ClosedResourceError):
+                # The upstream's end of the connection came before it was reset.
+                return
+            except OSError:
+                self._has_send_failed = True
                 return
             self._unsent = self._unsent[sent:]
 
@@ -212,6 +217,9 @@
                 if event is not h11.NEED_DATA:
                     return event
                 data = await self._sock.recv(_READ_BYTES)
+                if not data and self._has_send_failed:
+                    # A socket reports its error once, to the sender or the reader.
+                    raise self._mark_broken("the connection broke while sending")
                 self._protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise self._mark_broken(f"no valid answer: {error}") from error
