Take a reset during a call to our own upstreams for a broken answer

What callers saw: status 200 with a short body from a plain service that answered a large call before it had read it, without a length or chunks, and was reset.

Cause: httpcore reads the answer on after a write has failed. The write got the reset, which a socket reports once, so the next read got an end; without a length or chunks that makes the body whole.

Change: an end that is read after a write has failed is an error, unless the write failed by a broken pipe, which the kernel reports where the upstream's end came before the reset.

--- a/src/pepperstep/adapters/paced_network.py
+++ b/src/pepperstep/adapters/paced_network.py
@@ -68,6 +68,8 @@
         self._stream = stream
         self.period = 0.0
         self._has_read = False
+        # Whether a write failed because the connection was reset or timed out.
+        self._has_write_failed = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return the received data, b"" at the end of the stream.
@@ -76,6 +78,14 @@
         detects silence with one cancel scope for all reads, which costs less.
         """
         self._has_read = True
+        data = await self._receive(max_bytes, timeout)
+        if not data and self._has_write_failed:
+            # A socket reports its error once, and httpcore reads on after a failed
+            # write.
+            raise httpcore.ReadError("The connection broke during a write.")
+        return data
+
+    async def _receive(self, max_bytes: int, timeout: float | None) -> bytes:
         try:
             if self.period:
                 await self._wait_for_tick()
@@ -99,6 +109,9 @@
         except trio.TooSlowError as error:
             raise httpcore.WriteTimeout from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            # A broken pipe means that the end of the answer came before the reset.
+            is_end = isinstance(error.__cause__, BrokenPipeError)
+            self._has_write_failed = not is_end
             raise httpcore.WriteError(str(error)) from error
 
     async def aclose(self) -> None:
