Take an empty success that ends by a close for a broken answer

What callers saw: 200 with the replica's seal and an empty body, framed as whole, from a replica that stopped right after its answer's head. That was the only byte of an answer at which a close or a reset gave an unframed success that is short to an empty body; inside the head all cuts gave 502.

Cause: without a length or chunks the close of a connection ends the body, and a body of no bytes counted as one.

Change: a success that ends by a close before any byte of its body is a fault of the connection: sent again where the route allows it, else 502. Streams were treated so before. It doesn't hold for HEAD, 204, 205 and 304, for failures, and for answers with a length or chunks, so an upstream that has nothing to say states the length 0.

Result: tests/relaying/test_cut_heads.py plays whole entry hosts over sockets: 20 kinds of answers, closed after each byte and reset after each fifth byte of the head and each of the body. Before, the two kinds without framing failed, HTTP/1.1 and 1.0, after that one byte; now none does. A close inside such a body, after its first byte, still can't be told from its end.

--- a/src/pepperstep/ports/exchange.py
+++ b/src/pepperstep/ports/exchange.py
@@ -20,7 +20,7 @@
     "UpstreamConnector",
 ]
 
-_STATUSES_WITHOUT_BODY = frozenset((204, 304))
+_STATUSES_WITHOUT_BODY = frozenset((204, 205, 304))
 
 # Name and value, the name in lower case.
 Header = tuple[bytes, bytes]
--- a/src/pepperstep/relay/answers.py
+++ b/src/pepperstep/relay/answers.py
@@ -27,6 +27,8 @@
 _SEND_TIMEOUT_SECONDS = 1.0
 _SUCCESS_STATUSES = range(200, 300)
 _EVENT_STREAM = b"text/event-stream"
+# Method whose answers have no body.
+_METHOD_WITHOUT_BODY = b"HEAD"
 
 
 class AnswerForwarder:
@@ -51,7 +53,12 @@
     async def _forward_body(
         self, request: RelayedRequest, connection: UpstreamConnection, head: AnswerHead
     ) -> None:
-        """Forward a non-streamed answer, buffering a small one until it's complete."""
+        """Forward a non-streamed answer, buffering a small one until it's complete.
+
+        A connection that is closed may end an answer without a length or chunks, or
+        break it off. A success whose body would be empty counts as broken off, as an
+        upstream with nothing to say states the length 0.
+        """
         exchange = request.exchange
         pieces: list[bytes] = []
         size = 0
@@ -66,6 +73,8 @@
                 headers = self._wire.write_answer(head, is_framed=False)
                 begun = AnswerHead(head.status, headers)
                 await exchange.begin(begun, b"".join(pieces))
+        if not size and _ends_by_close(request, head):
+            raise ConnectionFault("closed before the body", True)
         self._on_first_byte(request)
         if exchange.has_begun:
             await exchange.finish()
@@ -131,3 +140,10 @@
     content_type = head.first(b"content-type").strip().lower()
     is_stream = not content_type or content_type.startswith(_EVENT_STREAM)
     return is_stream and head.status in _SUCCESS_STATUSES
+
+
+def _ends_by_close(request: RelayedRequest, head: AnswerHead) -> bool:
+    """Whether a success has a body whose end only the connection's end marks."""
+    if request.exchange.head.method == _METHOD_WITHOUT_BODY:
+        return False
+    return head.status in _SUCCESS_STATUSES and head.framing is Framing.CLOSE
--- a/tests/relaying/test_cut_heads.py
+++ b/tests/relaying/test_cut_heads.py
@@ -6,15 +6,20 @@
 import socket
 import struct
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 import pytest
 import trio
 
 from pepperstep.adapters.http1 import Http1Connector
 from pepperstep.ports.exchange import ConnectionFault, RequestHead
+from tests.relaying.socket_hosts import Caller, Cut, Hosts, Received, open_hosts
+from tests.relaying.test_broken_answers import LAST_CHUNK, chunk
 
 # Larger than what sockets buffer, so that the request is still being sent.
 LARGE_BODY = b"x" * 8_000_000
+# Resets are played after each of these many bytes of a head, closes after each byte.
+RESET_STEP = 5
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -66,3 +71,173 @@
             connection.close()
             assert is_whole == (ending == "end, then reset")
             assert received == b"body" or not is_whole
+
+
+EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\n\n")
+STREAM = b"".join(EVENTS)
+BODY = b'{"a": "bc"}'
+OK = b"HTTP/1.1 200 OK"
+OLD = b"HTTP/1.0 200 OK"
+ID = b"Pepperstep-Attempt-Id: "
+SEAL = b"pepperstep-replica-seal"
+NOT_EXECUTED = b"Pepperstep-Not-Executed: 1"
+CHUNKED = b"Transfer-Encoding: chunked"
+OWN_FAILURE = b'{"error":"upstream_failed"}'
+
+
+@dataclass(frozen=True)
+class Kind:
+    """Kind of an upstream's answer; `ID` in its lines stands for the attempt id."""
+
+    lines: tuple[bytes, ...]
+    body: bytes = BODY
+    is_chunked: bool = False
+    is_stream: bool = False
+    method: bytes = b"POST"
+    # What is sent before the answer, and how lines end.
+    before: bytes = b""
+    line_end: bytes = b"\r\n"
+
+    @property
+    def status(self) -> int:
+        """Status of the whole answer."""
+        return int(self.lines[0][9:12])
+
+    @property
+    def is_close_framed(self) -> bool:
+        """Whether only the connection's end marks the body's end."""
+        has_length = any(each.startswith(b"Content-Length") for each in self.lines)
+        return bool(self.body) and not has_length and not self.is_chunked
+
+    @property
+    def is_refusal(self) -> bool:
+        """Whether the upstream states that it hasn't run the request."""
+        return NOT_EXECUTED in self.lines
+
+    def head(self, attempt: bytes) -> bytes:
+        """Return all bytes before the body."""
+        lines = (*self.lines, b"Pepperstep-Replica-Seal: s", ID + attempt)
+        return self.before + self.line_end.join(lines) + 2 * self.line_end
+
+    def write(self, attempt: bytes) -> bytes:
+        """Return the whole answer."""
+        if not self.is_chunked:
+            return self.head(attempt) + self.body
+        pieces = EVENTS if self.is_stream else (self.body[:3], self.body[3:])
+        return self.head(attempt) + b"".join(map(chunk, pieces)) + LAST_CHUNK
+
+    def ends(self, attempt: bytes, cut: Cut) -> set[bytes]:
+        """Return the bodies that a caller may take for whole after a cut."""
+        size = len(self.write(attempt))
+        if cut.at is None or cut.at >= size and not self.is_close_framed:
+            return {self.body}
+        if not self.is_close_framed or cut.is_reset:
+            return set()
+        sent = cut.at - len(self.head(attempt))
+        if sent < 0:
+            return set()
+        # Nothing tells an upstream's close inside such a body from its end.
+        ends = {self.body[:sent]}
+        if self.is_stream:
+            return ends & {EVENTS[0], STREAM}
+        return ends - {b""} if self.status < 300 else ends
+
+
+def length(body: bytes) -> bytes:
+    """Return a header that states a body's length."""
+    return b"Content-Length: %d" % len(body)
+
+
+def late(line: bytes, body: bytes) -> bytes:
+    """Return a late answer to an earlier request."""
+    return b"\r\n".join((OK, ID + b"1", line)) + b"\r\n\r\n" + body
+
+
+KINDS = {
+    "length": Kind((OK, length(BODY))),
+    "chunked": Kind((OK, CHUNKED), is_chunked=True),
+    "close": Kind((OK,)),
+    "old, length": Kind((OLD, length(BODY))),
+    "old, close": Kind((OLD,)),
+    "interim": Kind((OK, length(BODY)), before=b"HTTP/1.1 103 X\r\nA: b\r\n\r\n"),
+    "folded": Kind((OK, b"A: b\n c", length(BODY)), line_end=b"\n"),
+    "late, length": Kind((OK, length(BODY)), before=late(length(b"old"), b"old")),
+    "late, chunked": Kind(
+        (OK, length(BODY)), before=late(CHUNKED, chunk(b"old") + LAST_CHUNK)
+    ),
+    "no content": Kind((b"HTTP/1.1 204 X",), b""),
+    "not modified": Kind((b"HTTP/1.1 304 X", length(BODY)), b""),
+    "head": Kind((OK, length(BODY)), b"", method=b"HEAD"),
+    "head, close": Kind((OK,), b"", method=b"HEAD"),
+    "failure, length": Kind((b"HTTP/1.1 500 X", length(BODY))),
+    "failure, close": Kind((b"HTTP/1.1 500 X",)),
+    "refusal": Kind((b"HTTP/1.1 503 X", NOT_EXECUTED, length(BODY))),
+    "stream, length": Kind((OK, length(STREAM)), STREAM, is_stream=True),
+    "stream, chunked": Kind((OK, CHUNKED), STREAM, is_chunked=True, is_stream=True),
+    "stream, close": Kind((OK,), STREAM, is_stream=True),
+    "stream, old": Kind((OLD,), STREAM, is_stream=True),
+}
+
+
+def cuts_of(kind: Kind, attempt: bytes) -> list[Cut]:
+    """Return a close after each byte, and resets near the end and every few bytes."""
+    size = len(kind.write(attempt))
+    cuts = [Cut(at) for at in range(size + 1)]
+    from_head_end = range(len(kind.head(attempt)) - 2, size + 1)
+    resets = sorted({*range(0, size, RESET_STEP), *from_head_end})
+    return [*cuts, *(Cut(at, is_reset=True) for at in resets)]
+
+
+def path_of(kind: Kind, attempt: bytes, cut: Cut, number: int) -> bytes:
+    """Return a path on a route of the kind; each content is another one."""
+    routes = (b"unsafe", b"safe")
+    if kind.is_stream:
+        # What follows the first event of a stream that goes on isn't played here.
+        is_early = cut.at is not None and cut.at < len(kind.head(attempt) + EVENTS[0])
+        routes = (b"stream", b"resumable" if is_early else b"stream")
+    return b"/%s/%s" % (routes[number % 2], attempt)
+
+
+async def play(hosts: Hosts, caller: Caller, kind: Kind, cut: Cut, number: int) -> None:
+    """Send a request whose answer is cut, and check what the caller gets."""
+    attempt = hosts.next_attempt()
+    hosts.renew_upstreams()
+    hosts.upstream.answer = kind.write(attempt)
+    hosts.upstream.cut = cut
+    path = path_of(kind, attempt, cut, number)
+    version = b"1.0" if number // 2 % 2 else b"1.1"
+    received = await caller.ask(path, attempt, kind.method, version)
+    if number // 4 % 2:
+        await caller.close()
+    arrivals = hosts.upstream.arrivals[attempt]
+    case = f"{cut} {path!r} {version!r}: {received}, {arrivals} arrivals"
+    is_refused = kind.is_refusal and (
+        cut.at is None or cut.at >= len(kind.head(attempt))
+    )
+    assert is_true(kind, kind.ends(attempt, cut), is_refused, received), case
+    if cut.at == len(kind.write(attempt)) and not cut.is_reset:
+        assert received.is_complete and received.status == kind.status, case
+    if path.startswith((b"/unsafe", b"/stream")) and not is_refused:
+        assert arrivals == 1, case
+
+
+def is_true(kind: Kind, ends: set[bytes], is_refused: bool, received: Received) -> bool:
+    """Whether a caller may get an answer, given the bodies that may be whole."""
+    if not received.is_complete:
+        return not is_refused
+    if SEAL in received.headers:
+        return received.status == kind.status and received.body in ends
+    if is_refused and received.status == 503:
+        return True
+    return received.status == 502 and received.body in (OWN_FAILURE, b"")
+
+
+@pytest.mark.parametrize("name", KINDS)
+async def test_answer_cut_at_any_byte_does_not_look_whole(mock_clock, name):
+    """Guards against a success with an empty or short body."""
+    kind = KINDS[name]
+    async with open_hosts(mock_clock) as hosts:
+        caller = Caller(hosts)
+        cuts = cuts_of(kind, hosts.next_attempt())
+        for number, cut in enumerate(cuts):
+            await play(hosts, caller, kind, cut, number)
