Answer HEAD requests on stream routes that have no length

What callers saw: 502 to a HEAD request on a stream route, though the replica had answered with 200.

Cause: an answer to HEAD has no body, but was read as a stream, which counts as broken off if its connection closes before the first event. An answer without a length or chunks was taken for such.

Change: an answer to HEAD is forwarded as one without a body.

Result: the kind 'stream, head' of test_answer_cut_at_any_byte_does_not_look_whole failed before at the whole answer, and passes.

--- a/src/pepperstep/relay/answers.py
+++ b/src/pepperstep/relay/answers.py
@@ -45,7 +45,8 @@
     ) -> None:
         """Forward an answer to its end; raise `ConnectionFault` if it broke off."""
         request.sent_status = head.status
-        if request.route.is_stream and is_event_stream(head):
+        has_body = request.exchange.head.method != _METHOD_WITHOUT_BODY
+        if request.route.is_stream and has_body and is_event_stream(head):
             await self._forward_events(request, connection, head)
         else:
             await self._forward_body(request, connection, head)
--- a/tests/relaying/test_cut_heads.py
+++ b/tests/relaying/test_cut_heads.py
@@ -176,6 +176,7 @@
     "stream, chunked": Kind((OK, CHUNKED), STREAM, is_chunked=True, is_stream=True),
     "stream, close": Kind((OK,), STREAM, is_stream=True),
     "stream, old": Kind((OLD,), STREAM, is_stream=True),
+    "stream, head": Kind((OK,), b"", is_stream=True, method=b"HEAD"),
 }
 
 
