Take an empty success of a plain service that ends by a close for lost

What callers saw: status 200 with an empty body from a plain service that stopped right after its answer's head.

Cause: without a length or chunks the close ends the body, and a body of no bytes counted as one.

Change: such an answer counts as lost, except for HEAD, 204 and 205 and for failures.

--- a/src/pepperstep/adapters/http_upstreams.py
+++ b/src/pepperstep/adapters/http_upstreams.py
@@ -44,6 +44,8 @@
 _NOT_RUN = "1"
 # Statuses which guarantee that the upstream didn't run the request.
 _REFUSALS = frozenset({401, 404, 409, 429, 503})
+# Successes whose answers never have a body.
+_STATUSES_WITHOUT_BODY = frozenset({204, 205})
 
 
 # Range of the integers in messages between hosts.
@@ -158,6 +160,8 @@
             if _header(response, b"x-not-run") == _NOT_RUN:
                 raise await _read_error(response)
             body = await _read_whole(response)
+            if not body and _ends_by_close(request.method, response):
+                raise UpstreamLost("The service closed before its body.")
             content_type = _header(response, b"content-type")
             return ServiceAnswer(response.status, content_type, body)
 
@@ -353,6 +357,18 @@
     return bytes(body)
 
 
+def _ends_by_close(method: str, response: httpcore.Response) -> bool:
+    """Whether a success has a body whose end only the connection's end marks.
+
+    Such a close may end the body or break it off.
+    """
+    if method == "HEAD" or response.status in _STATUSES_WITHOUT_BODY:
+        return False
+    framings = (b"content-length", b"transfer-encoding")
+    is_success = 200 <= response.status < 300
+    return is_success and not any(_header(response, name) for name in framings)
+
+
 def _header(response: httpcore.Response, name: bytes) -> str:
     for key, value in response.headers:
         if key.lower() == name:
