--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -32,10 +32,16 @@
 
 _DAEMON = Path(__file__).resolve().parent.parent / "deploy" / "pepperstepd.py"
 _NETWORK = "127.53"
+_NETWORK_COUNT = 250
+# Address number and port of the socket that reserves a site's network for it.
+_RESERVED_NUMBER = 254
+_RESERVED_PORT = 9_463
 # Period of polls of an awaited condition, and the timeout of the wait.
 _POLL_SECONDS = 0.05
 _WAIT_SECONDS = 30.0
 _STOP_SECONDS = 20.0
+# Time after which an upstream tries the next control host.
+_ANNOUNCE_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +143,7 @@
         self._nursery = nursery
         self._daemon = daemon
         self._bounds = {"grace_s": 6} | (bounds or {})
+        self._network, self._reservation = _reserve_network()
         self._upstream_scopes: dict[str, trio.CancelScope] = {}
         self._connector = Http1Connector(trio.current_time)
         self.daemons: dict[str, Daemon] = {}
@@ -157,6 +164,7 @@
                 yield site
             finally:
                 site.end()
+                site._reservation.close()
                 nursery.cancel_scope.cancel()
 
     def start(self, name: str, number: int, *, is_first: bool, seeds: list[int]):
@@ -181,9 +189,12 @@
         if is_control and ip not in self.controls:
             self.controls.append(ip)
 
-    def address(self, name: str) -> str:
-        """Return the address at which an entry host accepts callers' requests."""
-        return f"{self.daemons[name].ip}:{self._port + 3}"
+    def address(self, name: str, port: int = 3) -> str:
+        """Return the address of one of a host's ports.
+
+        By default, it's the one at which entry hosts accept callers' requests.
+        """
+        return f"{self.daemons[name].ip}:{self._port + port}"
 
     async def upstream(
         self,
@@ -212,6 +223,16 @@
                         return received
                 await trio.sleep(_POLL_SECONDS)
 
+    async def call_control(
+        self, name: str, method: bytes, path: str, body: bytes, timeout: float
+    ) -> Received | None:
+        """Send a call to one control host.
+
+        Return None if the connection fails or no answer arrives in `timeout` seconds.
+        """
+        ip = self.daemons[name].ip
+        return await self._send(ip, 1, method, path, body, timeout=timeout)
+
     async def resolve(self) -> list[str]:
         """Return the entry hosts' addresses from the first control host's directory."""
         path = "/-/resolve?name=a.example&region=r1&zone=z1"
@@ -298,8 +319,10 @@
     async def _announce_once(self, upstream: StandInUpstream) -> None:
         path = f"/-/Replicas.Heartbeat/{upstream.name}"
         state = upstream.state
-        for ip in self.controls:
-            received = await self._send(ip, 1, b"POST", path, upstream.beat())
+        for ip in list(self.controls):
+            received = await self._send(
+                ip, 1, b"POST", path, upstream.beat(), timeout=_ANNOUNCE_SECONDS
+            )
             if received is None:
                 continue
             if received.status == 200:
@@ -314,14 +337,17 @@
         path: str,
         body: bytes = b"",
         headers: tuple[tuple[bytes, bytes], ...] = (),
+        timeout: float = _WAIT_SECONDS,
     ) -> Received | None:
         head = RequestHead(method, path.encode(), ((b"host", b"a.example"), *headers))
         try:
-            connection = await self._connector.connect(f"{ip}:{self._port + port}", 2.0)
+            connection = await self._connector.connect(
+                f"{ip}:{self._port + port}", min(2.0, timeout)
+            )
         except ConnectionFault:
             return None
         try:
-            with trio.move_on_after(_WAIT_SECONDS):
+            with trio.move_on_after(timeout):
                 answer = await connection.send(head, body)
                 pieces = [piece async for piece in connection.pieces()]
                 return Received(answer.status, dict(answer.headers), b"".join(pieces))
@@ -355,7 +381,21 @@
         }
 
     def _ip(self, number: int) -> str:
-        return f"{_NETWORK}.{os.getpid() % 250 + 1}.{number}"
+        return f"{self._network}.{number}"
+
+
+def _reserve_network() -> tuple[str, socket.socket]:
+    """Return a network that no other site uses, and the socket that reserves it."""
+    for offset in range(_NETWORK_COUNT):
+        network = f"{_NETWORK}.{(os.getpid() + offset) % _NETWORK_COUNT + 1}"
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"{network}.{_RESERVED_NUMBER}", _RESERVED_PORT))
+        except OSError:
+            reservation.close()
+        else:
+            return network, reservation
+    raise OSError("All networks of sites are in use.")
 
 
 def _free_port() -> int:
