--- a/soak/callers.py
+++ b/soak/callers.py
@@ -28,6 +28,7 @@
     attempt: bytes
     host: str
     kind: str
+    service: str
     deadline: float
     sent_at: float
     is_kept: bool
@@ -89,6 +90,7 @@
                     attempt,
                     plan.host,
                     plan.kind,
+                    plan.service,
                     plan.deadline,
                     trio.current_time(),
                     is_kept,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,7 +10,10 @@
 from soak.trial import Record
 from soak.upstreams import Arrival
 
-__all__ = ["Failure", "Verdict", "judge"]
+__all__ = ["TIMED_RULES", "Failure", "Verdict", "judge"]
+
+# Rules whose bounds a machine that is too slow for its hosts breaks.
+TIMED_RULES = frozenset(("exit in time", "in force"))
 
 # Statuses which promise that a request hasn't run and never will.
 _PROMISES = frozenset((408, 421, 429, 503))
@@ -219,12 +222,23 @@
         if sent.status == 504:
             text = "" if self._is_expired(sent) else "time-out before its deadline"
             self._check_request("failed", sent, text)
-        elif sent.status == 502 and arrivals:
+        elif sent.status == 502:
+            has_run = any(each.has_run for each in arrivals)
             reason = next(self._excuses(sent), "")
+            if not has_run and not reason and self._has_crash(sent):
+                reason = "upstream crashed before it read the request"
             if reason:
                 self._verdict.exempt[f"failed: {reason}"] += 1
             self._check_request("failed", sent, "" if reason else "no upstream failed")
 
+    def _has_crash(self, sent: Sent) -> bool:
+        """Whether an upstream of the request's service crashed meanwhile."""
+        return any(
+            service == sent.service
+            and sent.sent_at - _SEEN_SECONDS <= at <= sent.ended_at
+            for service, at in self._record.crashes
+        )
+
     def _check_early(self, sent: Sent) -> None:
         """A host that was told to stop still serves requests at first."""
         life = self._early_life(sent.host, sent.sent_at)
@@ -264,16 +278,17 @@
             text = f"exit status {life.code}"
         elif life.stopped_at == _NEVER:
             text = "ended without a signal"
-        elif life.ended_at > self._due(life):
-            text = f"ended {life.ended_at - life.stopped_at:.2f} s after its signal"
         if life.code == 0 and life.stopped_at < _NEVER:
             grace = self._due(life) - _SLACK_SECONDS - self._record.delay
             share = (life.ended_at - life.stopped_at) / (grace - life.stopped_at)
             self._verdict.latest_exit = max(self._verdict.latest_exit, share)
-        if text:
-            signals = [(round(at - life.started_at, 2), s) for at, s in life.signals]
-            text += f" [signals after its start: {signals}]"
-        self._check("exit", life.started_at, life.host, "", text)
+        late = ""
+        if life.ended_at > self._due(life):
+            late = f"ended {life.ended_at - life.stopped_at:.2f} s after its signal"
+        signals = [(round(at - life.started_at, 2), s) for at, s in life.signals]
+        for rule, each in (("exit", text), ("exit in time", late)):
+            each = each and f"{each} [signals after its start: {signals}]"
+            self._check(rule, life.started_at, life.host, "", each)
 
     def _due(self, life: Life) -> float:
         """Return the time at which a process must have ended."""
--- a/soak/trial.py
+++ b/soak/trial.py
@@ -1,5 +1,6 @@
 """Carries out a plan, and returns the record of what happened."""
 
+import signal
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -31,6 +32,8 @@
     sent: list[Sent] = field(default_factory=list)
     refused: list[tuple[str, float]] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
+    # Services and times of upstreams' crashes.
+    crashes: list[tuple[str, float]] = field(default_factory=list)
     lives: list[Life] = field(default_factory=list)
     versions: list[Version] = field(default_factory=list)
     probes: list[Probe] = field(default_factory=list)
@@ -48,6 +51,7 @@
 
     `daemon` is the program of the hosts, None for this checkout's.
     """
+    _restore_signals()
     options = {"bounds": {"grace_s": plan.grace}}
     if daemon is not None:
         options["daemon"] = daemon
@@ -55,6 +59,16 @@
         return await _Trial(plan, site).run()
 
 
+def _restore_signals() -> None:
+    """Restore default actions of signals that this process was started to ignore.
+
+    Hosts would inherit them. Shells start background jobs in this way.
+    """
+    for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+        if signal.getsignal(number) is signal.SIG_IGN:
+            signal.signal(number, signal.SIG_DFL)
+
+
 class _Trial:
     """A plan that is carried out on a site."""
 
@@ -84,6 +98,7 @@
             nursery.cancel_scope.cancel()
         record.sent, record.refused = self._callers.sent, self._callers.refused
         record.arrivals, record.lives = self._upstreams.arrivals, self._hosts.lives
+        record.crashes = self._upstreams.crashes
         record.versions = self._operators.versions
         record.probes, record.reads = self._operators.probes, self._operators.reads
         return record
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -119,6 +119,8 @@
         # Faults of an upstream come one after the other.
         self._locks: dict[str, trio.Lock] = {}
         self.arrivals: list[Arrival] = []
+        # Services and times of crashes.
+        self.crashes: list[tuple[str, float]] = []
 
     async def start(self, name: str, service: str, *, is_renamed: bool = True) -> None:
         """Start an upstream, with a new id if `is_renamed`."""
@@ -151,6 +153,7 @@
                     upstream.state = "draining"
                     await trio.sleep(_LEAVING_SECONDS)
                 upstream.is_crashed = True
+                self.crashes.append((upstream.service, trio.current_time()))
                 self._site.crash(upstream.name)
                 await trio.sleep_until(end)
                 await self.start(
