Count requests of the soak by their error, and time-outs by whether an answer began

Need: the share of refusals couldn't be explained from the report, and an exemption covered both streams that a deadline ends and requests that should have been answered with 504.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -89,10 +89,7 @@
     def judge(self) -> Verdict:
         """Return the verdict."""
         for sent in self._record.sent:
-            end = (
-                str(sent.status) if sent.status else "left" if sent.has_left else "cut"
-            )
-            self._verdict.statuses[end] += 1
+            self._verdict.statuses[_end_of(sent)] += 1
             self._check_answered(sent)
             self._check_runs(sent)
             self._check_content(sent)
@@ -173,7 +170,8 @@
         if any(each.outcome == "crashed" for each in self._arrivals[sent.attempt]):
             yield "upstream broke off"
         if self._is_expired(sent):
-            yield "deadline or time-out"
+            begun = "after the answer began" if sent.has_begun else "before any answer"
+            yield f"deadline or time-out {begun}"
         if any(
             each.outcome == "dropped" and each.since_return < _RETURN_SECONDS
             for each in self._arrivals[sent.attempt]
@@ -345,6 +343,13 @@
         return True
 
 
+def _end_of(sent: Sent) -> str:
+    """Return how a request ended: its status with the error's code, or without one."""
+    if not sent.status:
+        return "left" if sent.has_left else "cut"
+    return f"{sent.status} {sent.error.decode()}".strip()
+
+
 def _has_begun(life: Life) -> bool:
     """Whether the process has reached the host's program."""
     return any("Starting host" in line for line in life.lines())
