Let callers of the soak send in pieces, and ask for streams as long as their deadlines

Need: hosts that stop must also finish requests that are partly sent when they close; and few streams still ran at the end of the grace period.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,16 +9,20 @@
 from pepperstep.adapters.http1 import Http1Connector
 from pepperstep.ports.exchange import ConnectionFault, RequestHead
 from soak.plan import CallerPlan
+from soak.slow_connections import SlowConnection
 
 __all__ = ["Callers", "Sent"]
 
 _KEY = (b"authorization", b"Bearer key-of-desk")
 _CONNECT_SECONDS = 1.0
-# Pause after a refused connection.
+# Pause after a refused connection or request.
 _REFUSED_SECONDS = 0.1
 # Time beyond a request's deadline after which a caller gives up.
 _PATIENCE_SECONDS = 2.0
-_MAX_EVENTS = 30
+# Longest stream, in events and in events for each second of the deadline.
+_MAX_EVENTS = 100
+_EVENTS_PER_SECOND = 17
+_UNAVAILABLE = 503
 
 
 @dataclass(slots=True)
@@ -81,7 +85,7 @@
                     connection = None
                 is_kept = connection is not None
                 if connection is None:
-                    connection = await self._connect(plan.host)
+                    connection = await self._connect(plan)
                 if connection is None:
                     continue
                 number += 1
@@ -98,22 +102,30 @@
                 if not await self._call(plan, rng, sent, connection):
                     connection.close()
                     connection = None
+                if sent.status == _UNAVAILABLE:
+                    await trio.sleep(_REFUSED_SECONDS)
         finally:
             if connection is not None:
                 connection.close()
 
-    async def _connect(self, host: str):
+    async def _connect(self, plan: CallerPlan):
+        address = self._address(plan.host)
         try:
-            return await self._connector.connect(self._address(host), _CONNECT_SECONDS)
+            if plan.piece_pause:
+                return await SlowConnection.open(
+                    address, plan.piece_pause, _CONNECT_SECONDS
+                )
+            return await self._connector.connect(address, _CONNECT_SECONDS)
         except ConnectionFault:
-            self.refused.append((host, trio.current_time()))
+            self.refused.append((plan.host, trio.current_time()))
             await trio.sleep(_REFUSED_SECONDS)
         return None
 
     async def _call(self, plan: CallerPlan, rng, sent: Sent, connection) -> bool:
         """Send a request; return whether the connection may be used again."""
         self.sent.append(sent)
-        count = rng.randint(1, _MAX_EVENTS)
+        longest = min(_MAX_EVENTS, round(_EVENTS_PER_SECOND * plan.deadline))
+        count = rng.randint(1, longest)
         path = b"/%s-%s/%d" % (plan.kind.encode(), plan.service.encode(), count)
         headers = (
             (b"host", b"a.example"),
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -76,6 +76,8 @@
     # Shares of requests on a kept connection, and of those that it leaves early.
     kept_share: float
     leaving_share: float
+    # Pause between two pieces of a request, 0 to send it at once.
+    piece_pause: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,6 +165,7 @@
                 body_bytes=rng.choice((0, 40, 40, 2_000, 60_000)),
                 kept_share=rng.choice((0.0, 0.9, 1.0, 1.0)),
                 leaving_share=rng.choice((0.0, 0.0, 0.0, 0.1)),
+                piece_pause=rng.choice((0.0, 0.0, 0.0, 0.01, 0.1)),
             )
 
 
