--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,6 +27,7 @@
     run.add_argument("--seconds", type=float, default=25.0, help="time of the events")
     run.add_argument("--crowd", action="store_true", help="as many hosts as fit")
     run.add_argument("--daemon", type=Path, help="the hosts' program")
+    run.add_argument("--keep", action="store_true", help="keep all logs")
     report = commands.add_parser("report", help="write a page over all results")
     for each in (run, report):
         each.add_argument("--folder", type=Path, default=_FOLDER, help="of results")
@@ -48,7 +49,7 @@
     verdict = judge(record)
     options = f"{arguments.seconds:g} s{', crowd' if arguments.crowd else ''}"
     result = Result.from_verdict(record, verdict, options)
-    if verdict.failures:
+    if verdict.failures or arguments.keep:
         result.logs = folder.name
     else:
         shutil.rmtree(folder)
