Let the soak's unsafe requests and streams be tried twice

Need: a request that an upstream refused as not run was never sent to a second one, so that the rule of one run wasn't tried.

--- a/soak/operators.py
+++ b/soak/operators.py
@@ -147,7 +147,7 @@
             "path_prefix": f"/{kind}-{service}/",
             "kind": kind,
             "service": service,
-            "max_attempts": 3 if kind == "safe" else 1,
+            "max_attempts": 3 if kind == "safe" else 2,
         }
         for kind in ("unsafe", "safe", "stream")
         for service in SERVICES
