Start hosts again that end late after SIGKILL in the soak

Cause: a series looked whether its process had ended 10 ms after the signal.

Change: a process that was killed is waited for, and hosts that have ended are started before the calm.

--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -15,9 +15,10 @@
 
 _POLL_SECONDS = 0.01
 _LISTEN_SECONDS = 30.0
+# Time for a process to end by a signal's default action.
+_END_SECONDS = 0.2
 # A process that still runs this long after its grace period is killed.
 _OVERDUE_SECONDS = 5.0
-_ENDINGS = frozenset((*STOPS, "KILL"))
 
 
 @dataclass(slots=True)
@@ -105,12 +106,19 @@
                 await trio.sleep_until(begin + delay)
                 self._send(life, name)
             # SIGHUP at the start may end a process before it can handle it.
-            await trio.sleep(_POLL_SECONDS)
-            if self._has_ended(life) or life.stopped_at < _NEVER:
+            await trio.sleep(_END_SECONDS)
+            ends = min(life.stopped_at, life.killed_at) < _NEVER
+            if ends or self._has_ended(life):
                 await self._wait_end(life)
                 await trio.sleep(series.back)
                 self.start(series.host)
 
+    def start_ended(self) -> None:
+        """Start the hosts whose processes have ended."""
+        for life in list(self._current.values()):
+            if self._has_ended(life):
+                self.start(life.host)
+
     async def watch(self) -> None:
         """Record when processes begin to listen and end, until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/soak/trial.py
+++ b/soak/trial.py
@@ -133,6 +133,7 @@
         """Change the configuration once more in the calm, and read it."""
         self._record.settled_at = trio.current_time()
         with trio.move_on_after(_SETTLE_SECONDS) as scope:
+            self._hosts.start_ended()
             self._record.unsettled = "an entry host isn't ready"
             await self._wait_ready()
             self._record.unsettled = "a change isn't acknowledged"
