--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -187,8 +187,10 @@
 
     async def _wait_listening(self, life: Life) -> None:
         """Record when the process first accepts a connection of a caller."""
-        port = 1 if life.host.startswith("control") else 3
-        address = self._site.address(life.host, port)
+        if life.host.startswith("control"):
+            address = self._site.control_address(life.host, 1)
+        else:
+            address = self._site.address(life.host)
         with trio.move_on_after(_LISTEN_SECONDS):
             while life.code is None and life.listens_at == _NEVER:
                 try:
