Free threads that wait for single calls' answers when a host ends

What operators see: a stopping host logs "Stopping." and its process goes on for up to 10 s, beyond its grace period.

Cause: a single call occupies a thread of the peers' server until its answer is set, at most 10 s. The end of the loop cancels the handler, which then sets none, and a call that comes at the end gets no handler at all. The interpreter waits for the thread.

Change: a cancelled handler and a call without handler set "no answer", which the caller takes for an unreachable peer as before.

--- a/src/pepperstep/adapters/grpc_peers.py
+++ b/src/pepperstep/adapters/grpc_peers.py
@@ -265,9 +265,16 @@
     def _start_unary_handler(self, data: bytes, slot: AnswerSlot) -> None:
         if self._is_serving:
             self._nursery.start_soon(self._answer_unary, data, slot)
+        else:
+            slot.put(None)
 
     async def _answer_unary(self, data: bytes, slot: AnswerSlot) -> None:
-        slot.put(await self._handle_message(data))
+        answer = None
+        try:
+            answer = await self._handle_message(data)
+        finally:
+            # The process can't exit while a thread of the server waits.
+            slot.put(answer)
 
     def _read_requests(self, requests: Iterator[bytes], answers: FrameQueue) -> None:
         try:
--- a/src/pepperstep/adapters/peer_calls.py
+++ b/src/pepperstep/adapters/peer_calls.py
@@ -25,10 +25,10 @@
     """Passes one answer from the trio loop to a waiting server thread."""
 
     def __init__(self) -> None:
-        self._queue: queue.SimpleQueue[bytes] = queue.SimpleQueue()
+        self._queue: queue.SimpleQueue[bytes | None] = queue.SimpleQueue()
 
-    def put(self, answer: bytes) -> None:
-        """Set the answer and wake the waiting thread."""
+    def put(self, answer: bytes | None) -> None:
+        """Set the answer, None if there is none, and wake the waiting thread."""
         self._queue.put(answer)
 
     def wait(self) -> bytes | None:
--- a/tests/adapters/test_grpc_peers.py
+++ b/tests/adapters/test_grpc_peers.py
@@ -202,3 +202,36 @@
                         await trio.sleep(0.05)
                     else:
                         break
+
+
+async def test_single_call_in_progress_delays_no_exit(monkeypatch):
+    # The interpreter waits for the server's threads before the process exits.
+    returned = threading.Event()
+
+    class Slot(grpc_peers.AnswerSlot):
+        def wait(self) -> bytes | None:
+            answer = super().wait()
+            returned.set()
+            return answer
+
+    monkeypatch.setattr(grpc_peers, "AnswerSlot", Slot)
+    caller_port, server_port = free_ports(2)
+    arrived = trio.Event()
+
+    async def wait_forever(message: CancelRequest, sender: str) -> CancelDone:
+        arrived.set()
+        await trio.sleep_forever()
+
+    async with serving("caller", caller_port) as caller, trio.open_nursery() as nursery:
+
+        async def call() -> None:
+            with pytest.raises(Failure):
+                await caller.call_single("server", CancelRequest(), LONG_TIMEOUT)
+
+        async with serving("server", server_port) as server:
+            server.handle(CancelRequest, wait_forever)
+            caller.set_address("server", f"127.0.0.1:{server_port}")
+            nursery.start_soon(call)
+            await arrived.wait()
+        is_free = await trio.to_thread.run_sync(returned.wait, 5.0)
+    assert is_free
