Refuse what still waits when a host ends, and name the right end

One whose deadline expired in the same step got 502 in place of 504; a caller that had left was logged as refused.

Cause: work begins after the quota's decision without a look at whether the host has ended, and that was asked before the deadline and the caller's departure.

Change: each part of a request's work begins with that look; a deadline goes before it, and a scope that the caller's departure had cancelled before isn't the host's. Requests of other hosts are declined, so that these ask another one.

--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -92,8 +92,8 @@
         self._rng = rng
         # Whether a request with this deadline is taken, as this host may be stopping.
         self._accepts = accepts
-        # Scopes of the requests in progress.
-        self._scopes: set[trio.CancelScope] = set()
+        # Requests in progress, by the scopes of their work.
+        self._running: dict[trio.CancelScope, RelayedRequest] = {}
         self._has_ended = False
 
     async def handle(self, exchange: Exchange) -> None:
@@ -124,7 +124,9 @@
         Answers that have begun break off.
         """
         self._has_ended = True
-        for scope in self._scopes:
+        for scope, request in self._running.items():
+            # Otherwise the caller has left.
+            request.is_ended = not scope.cancel_called
             scope.cancel()
 
     async def _handle(
@@ -252,8 +254,13 @@
         return request
 
     def _check_time_left(self, request: RelayedRequest) -> None:
-        """Raise `Failure` if this host may stop before the request's deadline."""
+        """Raise `Failure` if this host may end before the request's deadline.
+
+        Raise `Declined` if another entry host has forwarded it and can ask others.
+        """
         if self._has_ended or not self._accepts(request.deadline):
+            if request.is_forwarded:
+                raise Declined
             text = "This host is about to end."
             raise Failure(Code.DRAINING, text, retry_after=0.0)
 
@@ -322,21 +329,23 @@
 
         Raise `Failure` or `CallerGone` in these cases, unless it was answered.
         """
+        if self._has_ended:
+            self._raise_ended(request)
         remaining = request.deadline - self._timers.now()
         with self._timers.move_on_after(remaining) as scope:
-            self._scopes.add(scope)
+            self._running[scope] = request
             try:
                 request.exchange.cancel_when_disconnected(scope)
                 await work(request)
             finally:
-                self._scopes.discard(scope)
+                del self._running[scope]
         if request.is_answered or not scope.cancelled_caught:
             return
-        if self._has_ended:
+        if self._is_expired(request):
+            self._raise_expired(request)
+        if request.is_ended:
             self._raise_ended(request)
-        if not self._is_expired(request):
-            raise CallerGone
-        self._raise_expired(request)
+        raise CallerGone
 
     def _is_expired(self, request: RelayedRequest) -> bool:
         return self._timers.now() >= request.deadline
--- a/src/pepperstep/relay/relayed_request.py
+++ b/src/pepperstep/relay/relayed_request.py
@@ -43,6 +43,8 @@
     may_have_run: bool = False
     is_in_flight: bool = False
     is_answered: bool = False
+    # Whether this host has stopped working on it, as the host ends.
+    is_ended: bool = False
     # Address of the entry host that answered it for this one, "" if none did.
     answered_by: str = ""
     # Whether the run was counted for usage accounting.
