Ignore a reload signal while a host loads its modules and settings

A platform tells a host in this way that its settings have changed.

Cause: SIGHUP had its default action until the daemon received signals, after its modules and settings.

Change: the programs ignore it from their first lines on; before these, Python itself starts.

Result: test_reload_signal_ends_a_host_that_reads_its_settings failed before and passes. The own daemon has the same line before it reads its settings; it isn't tested there.

--- a/deploy/pepperstepd.py
+++ b/deploy/pepperstepd.py
@@ -1,9 +1,12 @@
 """Runs the daemon from a checkout whose libraries lie under `target/deps`."""
 
 import gc
+import signal
 import sys
 from pathlib import Path
 
+# The modules take some tenths of a second to load. A reload signal must not end that.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
 # Modules that load leave nothing to collect, and looking for it costs 8% of a start:
--- a/src/pepperstep/daemon.py
+++ b/src/pepperstep/daemon.py
@@ -2,6 +2,7 @@
 
 import random
 import secrets
+import signal
 import ssl
 import sys
 from pathlib import Path
@@ -41,6 +42,8 @@
 
 
 def _main(_: list[str]) -> None:
+    # Signals are received once the settings are read.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     set_up_logs(_LOG_FORMAT.value)
     settings = _read_settings(_CONFIG.value)
     try:
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -118,14 +119,25 @@
         assert accepted.status == 200
 
 
+DAEMON = Path(__file__).parents[2] / "deploy" / "pepperstepd.py"
+VALID_SETTINGS = {
+    "node_name": "edge-1",
+    "ip": "127.0.0.1",
+    "zone": "z1",
+    "region": "r1",
+    "listen": {"frontend": "127.0.0.1:81"},
+    "internal_ports": [7600, 7615],
+    "seed_nodes": ["127.0.0.1:82"],
+}
+
+
 def run_daemon(tmp_path: Path, text: str | None) -> subprocess.CompletedProcess:
     """Run the daemon's check with a settings file, which is missing for None."""
     path = tmp_path / "settings.json"
     if text is not None:
         path.write_text(text)
-    daemon = Path(__file__).parents[2] / "deploy" / "pepperstepd.py"
     return subprocess.run(
-        [sys.executable, str(daemon), "--check"],
+        [sys.executable, str(DAEMON), "--check"],
         env={"PEPPERSTEP_SETTINGS": str(path), "PATH": "/usr/bin"},
         capture_output=True,
         text=True,
@@ -158,19 +170,27 @@
 
 
 def test_check_of_valid_settings_only_validates(tmp_path):
-    settings = {
-        "node_name": "edge-1",
-        "ip": "127.0.0.1",
-        "zone": "z1",
-        "region": "r1",
-        "listen": {"frontend": "127.0.0.1:81"},
-        "internal_ports": [7600, 7615],
-        "seed_nodes": ["127.0.0.1:82"],
-    }
-    result = run_daemon(tmp_path, json.dumps(settings))
+    result = run_daemon(tmp_path, json.dumps(VALID_SETTINGS))
     assert (result.returncode, result.stdout) == (0, "The settings are valid.\n")
 
 
+def test_reload_signal_ends_a_host_that_reads_its_settings(tmp_path):
+    path = tmp_path / "settings.json"
+    os.mkfifo(path)
+    process = subprocess.Popen(
+        [sys.executable, str(DAEMON), "--check"],
+        env={"PEPPERSTEP_SETTINGS": str(path), "PATH": "/usr/bin"},
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    # Opens once the daemon has opened the file, too.
+    with path.open("w") as settings:
+        process.send_signal(signal.SIGHUP)
+        settings.write(json.dumps(VALID_SETTINGS))
+    output, _ = process.communicate(timeout=60)
+    assert (process.returncode, output) == (0, "The settings are valid.\n")
+
+
 async def test_drain_finishes_streams_of_other_entry_hosts(tmp_path):
     async with Site.open(tmp_path) as site:
         upstream = await start_all(site)
