Close no connection between the receipt of a request and its handling

What callers and operators saw: on a busy host, a connection of a stopping host ended without an answer although the host had read the request and handled it; an entry host would have passed it on.

Cause: trio's `recv` takes data that has already arrived from the socket, and returns it only after other tasks have run. In between, the connection has nothing unread, nothing in progress and nothing to parse, so a closing server took it for idle. A connection that a busy host accepts late has its first request in the socket when it's first read, and counts as old by then.

Change: a connection waits until its socket is readable, and reads it in the step that handles the data.

--- a/src/pepperstep/adapters/http1/connection.py
+++ b/src/pepperstep/adapters/http1/connection.py
@@ -1,5 +1,6 @@
 """A caller's connection, which carries requests and answers one at a time."""
 
+import os
 import select
 import socket
 import struct
@@ -379,11 +380,20 @@
             self._input_received.set()
 
     async def _receive(self) -> bytes:
-        """Return data from the socket, b"" once the connection is closed."""
-        try:
-            return await self._sock.recv(_READ_BYTES)
-        except (OSError, trio.ClosedResourceError):
-            return b""
+        """Return data from the socket, b"" once the connection is closed.
+
+        The data is in the socket until the step that returns it. `recv` of trio lets
+        other tasks run in between, to which the connection would seem idle.
+        """
+        while self._sock.fileno() >= 0:
+            try:
+                await trio.lowlevel.wait_readable(self._sock)
+                return os.read(self._sock.fileno(), _READ_BYTES)
+            except BlockingIOError:
+                continue
+            except (OSError, trio.ClosedResourceError):
+                break
+        return b""
 
     async def _receive_rest(self) -> bytes:
         """Discard data until the caller's end, or the limit, and return b""."""
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -186,6 +186,10 @@
         """Return the address at which an entry host accepts callers' requests."""
         return f"{self.daemons[name].ip}:{self._port + 3}"
 
+    def record(self, name: str) -> Path:
+        """Return the file in which `standins.recording_daemon` records calls."""
+        return self._folder / f"{name}.calls"
+
     def control_address(self, name: str, port: int) -> str:
         """Return a control host's address, for directory queries with port 2.
 
--- a/tests/relaying/test_stopping_calls.py
+++ b/tests/relaying/test_stopping_calls.py
@@ -1,17 +1,20 @@
 """Calls of operators and upstreams that a control host answers while it stops."""
 
+import itertools
 import random
+import socket
 
 import pytest
 import trio
 
-from pepperstep.adapters.http1 import Http1Connector
+from pepperstep.adapters.http1 import Http1Connector, Http1Server
 from pepperstep.adapters.timers import TrioTimers
+from pepperstep.entities.routes import CallerLimits
 from pepperstep.platform import ControlHandler
-from pepperstep.ports.exchange import RequestHead
+from pepperstep.ports.exchange import Answer, Exchange, RequestHead
 from pepperstep.programs.draining import Drain, DrainSchedule
 from pepperstep.programs.relay_settings import RelayBounds
-from tests.relaying.test_http1 import open_server
+from tests.relaying.test_http1 import VALID_REQUEST, open_server
 
 BOUNDS = RelayBounds(grace_seconds=2.0)
 CALLS = [
@@ -88,3 +91,33 @@
         for method, path, body in CALLS:
             assert (await call(address, method, path, body)).status == 503
     assert operations.count == 0
+
+
+async def test_request_that_a_closing_server_receives_is_cut(monkeypatch):
+    """Guards against a close between the receipt of a request and its handling."""
+    # The server looks for idle connections whenever other tasks have run, on a host so
+    # busy that seconds pass meanwhile.
+    monkeypatch.setattr("pepperstep.adapters.http1.server._CLOSE_POLL_SECONDS", 0.0)
+    now = map(float, itertools.count())
+    handled = []
+
+    async def handle(exchange: Exchange) -> None:
+        handled.append(exchange.head.target)
+        await exchange.answer(Answer(200))
+
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        host, port = probe.getsockname()
+    server = Http1Server(f"{host}:{port}", handle, CallerLimits, now.__next__)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.run)
+        callers = [socket.create_connection((host, port)) for _ in range(8)]
+        for each in callers:
+            each.sendall(VALID_REQUEST)
+        await server.close()
+        nursery.cancel_scope.cancel()
+    answers = []
+    for each in callers:
+        with each:
+            answers.append(each.recv(4_096)[:12])
+    assert len(handled) == len(callers)
+    assert answers == [b"HTTP/1.1 200"] * len(callers)
--- a/tests/wire/test_stopping_control_hosts.py
+++ b/tests/wire/test_stopping_control_hosts.py
@@ -106,6 +106,14 @@
         return Order(b"GET", "/-/resolve?name=a.example&region=r1&zone=z1")
 
 
+async def start_traffic(site: Site) -> Traffic:
+    """Order a roll-out, so that it can be read, and return the traffic."""
+    traffic = Traffic(site)
+    order = traffic.start_rollout()
+    await site.operate(order.method, order.path, order.body)
+    return traffic
+
+
 async def leader_of(site: Site) -> str:
     """Return the name of the control host that leads, once there is one."""
     with trio.fail_after(LEADER_SECONDS):
@@ -141,7 +149,7 @@
 def unanswered(site: Site, name: str) -> set[str]:
     """Return the ids of the calls that a host read and didn't answer."""
     states: dict[str, str] = {}
-    record = site.daemons[name].log.with_suffix(".calls")
+    record = site.record(name)
     for line in record.read_text().splitlines():
         state, _, call = line.partition(" ")
         states[call] = state
@@ -184,9 +192,7 @@
     async with Site.open(tmp_path, daemon=DAEMON, bounds=bounds) as site:
         await start_all(site)
         name = await pick(site, role)
-        traffic = Traffic(site)
-        order = traffic.start_rollout()
-        await site.operate(order.method, order.path, order.body)
+        traffic = await start_traffic(site)
         async with trio.open_nursery() as nursery:
             for number in SEEDS:
                 traffic.add(nursery, f"control-{number}")
@@ -195,3 +201,114 @@
             await trio.sleep(0.3)
             traffic.end()
         await check_calls(site, name, traffic)
+
+
+async def read_version(site: Site) -> int:
+    """Return the version of the configuration that the control hosts agree on."""
+    return json.loads((await site.operate(b"GET", READ)).body)["version"]
+
+
+async def test_control_hosts_that_stop_together_lose_orders(tmp_path):
+    bounds = {"grace_s": GRACE_SECONDS}
+    async with Site.open(tmp_path, daemon=DAEMON, bounds=bounds) as site:
+        await start_all(site)
+        stopped = [await pick(site, "leader"), await pick(site, "follower")]
+        traffic = await start_traffic(site)
+        async with trio.open_nursery() as nursery:
+            for number in SEEDS:
+                traffic.add(nursery, f"control-{number}")
+            await trio.sleep(1.0)
+            async with trio.open_nursery() as stopping:
+                for name in stopped:
+                    stopping.start_soon(send_signals, site, name, MORE_SIGNALS)
+            traffic.end()
+        for name in stopped:
+            assert unanswered(site, name) == set()
+            site.start(name, int(name[-1]), is_first=False, seeds=SEEDS)
+        await check_calls(site, stopped[0], traffic)
+
+
+@pytest.mark.parametrize("role", ["follower", "leader"])
+async def test_control_host_stops_while_another_is_paused(tmp_path, role):
+    bounds = {"grace_s": GRACE_SECONDS}
+    async with Site.open(tmp_path, daemon=DAEMON, bounds=bounds) as site:
+        await start_all(site)
+        name = await pick(site, role)
+        leader = await leader_of(site)
+        paused = next(
+            each
+            for each in (f"control-{number}" for number in SEEDS)
+            if each not in (name, leader)
+        )
+        traffic = await start_traffic(site)
+        async with trio.open_nursery() as nursery:
+            for number in SEEDS:
+                if f"control-{number}" != paused:
+                    traffic.add(nursery, f"control-{number}")
+            await trio.sleep(1.0)
+            site.daemons[paused].stop(signal.SIGSTOP)
+            await send_signals(site, name, ONE_SIGNAL)
+            await trio.sleep(1.0)
+            site.daemons[paused].stop(signal.SIGCONT)
+            traffic.end()
+        await check_calls(site, name, traffic)
+
+
+@pytest.mark.parametrize("phase", ["first", "again", "replacement"])
+async def test_signals_at_the_start_leave_calls_unanswered(tmp_path, phase):
+    bounds = {"grace_s": GRACE_SECONDS}
+    async with Site.open(tmp_path, daemon=DAEMON, bounds=bounds) as site:
+        if phase == "first":
+            for number in SEEDS[:2]:
+                name = f"control-{number}"
+                site.start(name, number, is_first=True, seeds=SEEDS)
+            name, number = "control-3", 3
+        else:
+            await start_all(site)
+            name = await pick(site, "follower")
+            number = int(name[-1])
+            site.daemons[name].stop(signal.SIGKILL)
+            site.daemons[name].process.wait()
+            if phase == "replacement":
+                name, number = "control-8", 8
+        traffic = Traffic(site)
+        async with trio.open_nursery() as nursery:
+            is_first = phase == "first"
+            for delay in (0.0, 0.3):
+                forget_calls(site, name)
+                site.start(name, number, is_first=is_first, seeds=SEEDS)
+                if not traffic.callers:
+                    for each in site.daemons:
+                        if each.startswith("control") and running(site, each):
+                            traffic.add(nursery, each)
+                await wait_first_call(site, name)
+                await trio.sleep(delay)
+                await send_signals(site, name, MORE_SIGNALS)
+                assert unanswered(site, name) == set()
+            site.start(name, number, is_first=is_first, seeds=SEEDS)
+            await site.operate(b"POST", "/-/Config.Replace", table(9))
+            await trio.sleep(0.5)
+            traffic.end()
+        statuses = {each.status for each in traffic.calls()}
+        assert statuses <= {0, 200, 404, 503}
+        check_reads(traffic.calls())
+        latest = max(version for _, version in acknowledged(traffic.calls()))
+        assert await read_version(site) >= latest
+
+
+def running(site: Site, name: str) -> bool:
+    """Whether a host's process runs."""
+    return site.daemons[name].process.poll() is None
+
+
+def forget_calls(site: Site, name: str) -> None:
+    """Remove the record of the calls that a host's earlier process has read."""
+    site.record(name).unlink(missing_ok=True)
+
+
+async def wait_first_call(site: Site, name: str) -> None:
+    """Return once a starting host has read a call."""
+    record = site.record(name)
+    with trio.fail_after(10.0):
+        while not record.exists() or not record.stat().st_size:
+            await trio.sleep(0.005)
