Refuse no order for a service that later routes have

What operators saw: a roll-out of a service that a newer configuration had added was refused with 400 by a control host that had just started. Operators don't send such an order again, although it's valid, and although another host may have accepted it before.

Cause: the host checked the service against the routes in force on it. After a start these are the ones that it has read from its disk; at a host that the group has replaced they aren't renewed either.

Change: a service that isn't known is looked up again once this host has applied what is committed.

--- a/src/pepperstep/programs/control_host.py
+++ b/src/pepperstep/programs/control_host.py
@@ -206,7 +206,11 @@
         self._contact.check()
         if not self.tables.is_known:
             raise Failure(Code.NOT_READY, "This host knows no routes yet.")
-        if service not in self.tables.current.services:
+        if not self._has_service(service):
+            # A host that starts or was replaced may have older routes. Operators don't
+            # repeat an order that is refused as invalid.
+            await self.agreement.barrier(_READ_SECONDS)
+        if not self._has_service(service):
             text = f"There is no service {service!r}."
             raise Failure(Code.INVALID_REQUEST, text)
         await self.rollouts.start(service, to, duration)
@@ -228,6 +232,9 @@
         """Return entry host addresses for callers, those of `zone` first."""
         return self.entries.directory(zone).addresses(zone)
 
+    def _has_service(self, name: str) -> bool:
+        return name in self.tables.current.services
+
     def _control_hosts(self) -> list[str]:
         return sorted({self._peer_name, *self.agreement.members()})
 
--- a/tests/relaying/test_handover.py
+++ b/tests/relaying/test_handover.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from pepperstep.errors import Failure
+from pepperstep.errors import Code, Failure
 from tests.relaying.world import World, document, open_world
 
 SEEDS = ("c0:1", "c1:1", "c2:1")
@@ -216,3 +216,26 @@
         assert name not in voters(world)
         # Operators ask another host after a second; an election takes a part of it.
         assert max(seconds) < 0.5
+
+
+async def test_order_for_a_new_service_is_refused_by_a_host_that_starts(
+    autojump_clock,
+):
+    """Guards against a final refusal by routes that the host has read from its disk."""
+    async with open_group(0) as world:
+        name = pick(world, "follower")
+        await trio.sleep(1.0)
+        world.kill(name)
+        services = [{"name": each} for each in ("plain", "model", "new")]
+        await world.put(3, document(3, services=services))
+        host = await world.start_control(name, SEEDS, is_first=False)
+        assert host.tables.current.version == 2
+        with trio.fail_after(5.0):
+            while True:
+                try:
+                    await host.start_rollout("new", "v2", 60.0)
+                except Failure as failure:
+                    assert failure.code != Code.INVALID_REQUEST
+                    await trio.sleep(0.1)
+                else:
+                    break
