Play cut answers on kept connections, and cut refusals between hosts

What callers saw: nothing new; these cases had not been played.

Change: an answer is cut after each byte on a connection that has carried a whole one, and so is the 421 with which a second entry host declines a request.

--- a/tests/relaying/socket_hosts.py
+++ b/tests/relaying/socket_hosts.py
@@ -63,6 +63,7 @@
     def __init__(self, serve):
         self._serve = serve
         self.address = ""
+        self.accepted = 0
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Accept connections until cancelled."""
@@ -74,6 +75,7 @@
                 while True:
                     await trio.lowlevel.wait_readable(listener)
                     sock, _ = listener.accept()
+                    self.accepted += 1
                     nursery.start_soon(self._serve_one, sock)
 
     async def _serve_one(self, sock: socket.socket) -> None:
--- a/tests/relaying/test_cut_heads.py
+++ b/tests/relaying/test_cut_heads.py
@@ -196,14 +196,21 @@
     return b"/%s/%s" % (routes[number % 2], attempt)
 
 
-async def play(hosts: Hosts, caller: Caller, kind: Kind, cut: Cut, number: int) -> None:
+async def play(
+    hosts: Hosts,
+    caller: Caller,
+    kind: Kind,
+    cut: Cut,
+    number: int,
+    renews: bool = True,
+) -> None:
     """Send a request whose answer is cut, and check what the caller gets."""
     attempt = hosts.next_attempt()
     is_refused = kind.is_refusal and cut.at >= len(kind.head(attempt))
     is_whole = cut == Cut(len(kind.write(attempt)))
     hosts.upstream.cut = cut
     path = path_of(kind, attempt, cut, number)
-    received = await ask(hosts, caller, kind, path, attempt, number)
+    received = await ask(hosts, caller, kind, path, attempt, number, renews)
     arrivals = hosts.upstream.arrivals[attempt]
     case = f"{cut} {path!r}: {received}, {arrivals} arrivals"
     assert is_true(kind, kind.ends(attempt, cut), is_refused, received), case
@@ -220,9 +227,11 @@
     path: bytes,
     attempt: bytes,
     number: int,
+    renews: bool = True,
 ) -> Received:
     """Send a request; its number decides about its version and the connection."""
-    hosts.renew_upstreams()
+    if renews:
+        hosts.renew_upstreams()
     hosts.upstream.answer = kind.write(attempt)
     version = b"1.0" if number // 2 % 2 else b"1.1"
     received = await caller.ask(path, attempt, kind.method, version)
@@ -352,3 +361,37 @@
                 hosts.upstream.cut = Cut(len(kind.write(hosts.next_attempt())))
                 await play_link(hosts, caller, kind, cut, number, size=0)
                 hosts.link.cut = Cut()
+
+
+async def test_answer_cut_on_a_kept_connection_does_not_look_whole(mock_clock):
+    """Guards against bytes of the answer before, and a second sending."""
+    kind = KINDS["length"]
+    async with open_hosts(mock_clock) as hosts:
+        caller = Caller(hosts)
+        upstream = hosts.world.connector.upstream
+        before, size = upstream.accepted, len(kind.write(hosts.next_attempt()))
+        for at in range(size + 1):
+            await play(hosts, caller, kind, Cut(), 2 * at)
+            cut = Cut(at, is_reset=bool(at % 2) and at < size)
+            await play(hosts, caller, kind, cut, 2 * at, renews=False)
+        assert upstream.accepted - before < 2 * size
+
+
+async def test_cut_refusal_of_another_host_is_no_answer(mock_clock):
+    """Guards against a second host's 421 that reaches callers, or a second sending."""
+    kind = KINDS["head"]
+    async with open_hosts(mock_clock) as hosts:
+        await hosts.cut_off_first(mock_clock)
+        hosts.world.entries["e1:1"].forwarded._may_accept = lambda: False
+        caller = Caller(hosts)
+        attempt = hosts.next_attempt()
+        assert (await ask(hosts, caller, kind, b"/safe/0", attempt, 0)).status == 503
+        for at in range(hosts.link.size):
+            hosts.link.cut = Cut(at, is_reset=bool(at % 2))
+            attempt = hosts.next_attempt()
+            hosts.upstream.answer = kind.write(attempt)
+            received = await ask(
+                hosts, caller, kind, b"/unsafe/%d" % at, attempt, number=at
+            )
+            assert received.status in (502, 503) and received.is_complete
+            assert not hosts.upstream.arrivals[attempt]
