Failing test: a cut TLS connection of a service looks like its end

What callers saw: status 200 with a short body from a plain service over TLS, whose connection ended without the notice that TLS sends before an end, in the middle of a body without a length or chunks.

Cause: connections to upstreams accept such an end, as many HTTPS servers send no notice. Where a length or chunks mark the end of a body nothing is lost by that; here the notice is the only mark.

Not fixed, as a client that wants the notice also sends one when it closes, which may wait for a peer that doesn't read, and pooled connections are closed in a shielded scope.

--- a/tests/adapters/test_cut_answers.py
+++ b/tests/adapters/test_cut_answers.py
@@ -1,11 +1,13 @@
 """Answers of the project's own upstreams that are cut, over loopback sockets."""
 
 import socket
+import ssl
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 import pytest
 import trio
+import trustme
 
 from pepperstep.adapters import http_upstreams
 from pepperstep.adapters.http_cloud import HttpCloud
@@ -177,3 +179,29 @@
         return (framed[:size],) if size else (None,)
     # The status alone acknowledges an order.
     return (True,) if name == "order" else (None,)
+
+
+async def test_end_of_tls_without_notice_does_not_look_like_an_end(tmp_path):
+    """Guards against a short body: TLS tells a cut connection from one that ended."""
+    authority = trustme.CA()
+    authority.cert_pem.write_to_path(tmp_path / "authority.pem")
+    served = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    authority.issue_cert("127.0.0.1").configure_cert(served)
+    trusted = ssl.create_default_context(cafile=str(tmp_path / "authority.pem"))
+
+    async def serve(stream: trio.SSLStream) -> None:
+        await stream.receive_some(10_000)
+        await stream.send_all(HEADS["close"] + b"body")
+        await stream.transport_stream.send_eof()
+        await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_ssl_over_tcp_listeners(
+            0, served, host="127.0.0.1"
+        )
+        port = listener.transport_listener.socket.getsockname()[1]
+        nursery.start_soon(trio.serve_listeners, serve, [listener])
+        client = HttpUpstreams("key", trusted)
+        with pytest.raises(UpstreamLost):
+            await client.call_service(engine_at(f"127.0.0.1:{port}"), CALL, "a.1")
+        nursery.cancel_scope.cancel()
