Close a stopped server's connections only when no request has arrived

What callers saw: at the end of a drain their requests were lost if they lay unread, were partly read, or if their connection wasn't accepted yet; a request that was read beside the stop was cut while the application worked on it. Nothing had asked them to leave their connections.

Cause: the listeners were closed with what waited in them, and hypercorn's idle task closed each connection that it took for idle, also after the head of a request had been read.

Change: while a host leaves, its answers say `Connection: close`. A stopped server accepts what has connected, then closes its listeners, and closes a connection only if no request is in progress, unread or partly read (for 5 s at most), nor, for 1 s, if it is new. The same look is taken at the idle time-out.

--- a/src/pepperstep/adapters/http_api/connection.py
+++ b/src/pepperstep/adapters/http_api/connection.py
@@ -3,15 +3,25 @@
 import socket
 from collections.abc import Awaitable, Callable
 
+import h11
 import hypercorn.config
 import trio
 from hypercorn.events import Event, RawData
+from hypercorn.protocol.h11 import H11Protocol
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ConnectionState
 
 __all__ = ["Application", "Connection"]
 
+# How long a connection that would be closed waits for the rest of a request's head.
+_HEAD_SECONDS = 5.0
+# How long a new connection stays open for its first request.
+_FIRST_REQUEST_SECONDS = 1.0
+_ARRIVAL_POLL_SECONDS = 0.01
+_CLOSE_HEADER = (b"connection", b"close")
+_HTTP_1_VERSIONS = frozenset({"1.0", "1.1"})
+
 # ASGI application.
 Application = Callable[[dict, Callable, Callable], Awaitable[None]]
 
@@ -23,6 +33,9 @@
     opens a cancel scope, which costs as much as the rest of relaying a token. This
     class sends the head with the first piece and the last piece with the end of
     the body, and skips lock and cancel scope if the kernel accepts all the data.
+
+    A connection without a request in progress is closed only if no request has
+    arrived, even in part. Answers announce the close while `is_closing` returns True.
     """
 
     def __init__(
@@ -31,11 +44,14 @@
         config: hypercorn.config.Config,
         context: WorkerContext,
         stream: trio.abc.Stream,
+        is_closing: Callable[[], bool],
     ):
         super().__init__(
             self._run_application, config, context, ConnectionState({}), stream
         )
         self._application = application
+        self._is_closing = is_closing
+        self._opened_at = trio.current_time()
         self._raw_socket: socket.socket | None = None
         # Data to be sent with the next flush, None while sends go out directly.
         self._buffered: list[bytes] | None = None
@@ -71,6 +87,8 @@
         async def send_batched(event: dict) -> None:
             if self._buffered is None:
                 self._buffered = []
+            if event["type"] == "http.response.start":
+                event = self._announce_close(scope, event)
             if event.get("more_body") or event["type"] == "http.response.start":
                 await send(event)
             else:
@@ -80,6 +98,55 @@
 
         await self._application(scope, receive, send_batched)
 
+    def _announce_close(self, scope: dict, start: dict) -> dict:
+        """Return the start of an answer, with a header if the server is closing."""
+        if scope["http_version"] not in _HTTP_1_VERSIONS or not self._is_closing():
+            return start
+        return {**start, "headers": [*start["headers"], _CLOSE_HEADER]}
+
+    async def _idle_timeout(self) -> None:
+        """Close the connection after its idle time, or once the server closes.
+
+        Hypercorn cancels this when it has read the head of a request.
+        """
+        with trio.move_on_after(self.config.keep_alive_timeout):
+            await self.context.terminated.wait()
+        with trio.move_on_after(_HEAD_SECONDS):
+            while self._is_request_arriving():
+                await trio.sleep(_ARRIVAL_POLL_SECONDS)
+        with trio.CancelScope(shield=True):
+            await self._initiate_server_close()
+
+    def _is_request_arriving(self) -> bool:
+        """Whether a request has arrived, even in part, or is likely to."""
+        protocol = self.protocol.protocol
+        if isinstance(protocol, H11Protocol):
+            is_begun = protocol.connection.their_state in (h11.SEND_BODY, h11.DONE)
+            if is_begun or protocol.stream is not None:
+                return True
+            data, is_ended = protocol.connection.trailing_data
+            if data:
+                return not is_ended
+            is_new = trio.current_time() < self._opened_at + _FIRST_REQUEST_SECONDS
+            if is_new and not protocol.keep_alive_requests and not is_ended:
+                return True
+        return self._has_unread_data()
+
+    def _has_unread_data(self) -> bool:
+        stream = self.stream
+        if isinstance(stream, trio.SSLStream):
+            stream = stream.transport_stream
+        if stream.socket.fileno() < 0:
+            return False
+        # Shares the descriptor with the stream, which keeps its ownership.
+        raw_socket = socket.socket(fileno=stream.socket.fileno())
+        try:
+            return raw_socket.recv(1, socket.MSG_PEEK) != b""
+        except OSError:
+            return False
+        finally:
+            raw_socket.detach()
+
     async def _send_end(self, send: Callable, event: dict) -> None:
         """Send an answer's last piece, shielded from cancellation.
 
--- a/src/pepperstep/adapters/http_api/server.py
+++ b/src/pepperstep/adapters/http_api/server.py
@@ -2,7 +2,6 @@
 
 import socket
 from collections.abc import Awaitable, Callable
-from functools import partial
 
 import hypercorn.config
 import trio
@@ -15,12 +14,19 @@
 
 __all__ = ["serve_api"]
 
+Listener = trio.SocketListener | trio.SSLListener
+
 _KEEP_ALIVE_SECONDS = 30.0
 _HANDSHAKE_SECONDS = 10.0
 _GRACEFUL_SECONDS = 3600.0
 # TCP_USER_TIMEOUT: how long sent data may stay unacknowledged by a caller.
 _UNACKNOWLEDGED_SECONDS = 30
 _BACKLOG = 1024
+# Pause after `accept` failed, for example for lack of file descriptors.
+_ACCEPT_PAUSE_SECONDS = 0.1
+# How long a stopping server goes on until it finds no connection that isn't accepted.
+_ACCEPT_SECONDS = 1.0
+_ACCEPT_POLL_SECONDS = 0.005
 # After this many requests on a connection the caller must choose a host again.
 _MAX_KEEP_ALIVE_REQUESTS = 10_000
 # Larger headers get a 431 without body, because they can't be read completely.
@@ -45,31 +51,69 @@
     limits: Callable[[], Limits],
     stop: Callable[[], Awaitable[None]],
     task_status=trio.TASK_STATUS_IGNORED,
+    *,
+    is_leaving: Callable[[], bool] = lambda: False,
 ) -> None:
-    """Serve until `stop` returns, then finish the in-flight requests.
+    """Serve until `stop` returns, then answer the requests that have arrived.
 
-    `limits` returns the limits in force, which may change while serving. Raise
+    `limits` returns the limits in force, which may change while serving. While
+    `is_leaving` returns True, answers ask callers to close their connections. Raise
     OSError if the address can't be bound.
     """
     config = _make_config(settings)
     listeners = _open_listeners(config)
-    server = _Server(application, config, limits)
+    server = _Server(application, config, limits, is_leaving)
     async with trio.open_nursery() as connections:
-        async with trio.open_nursery() as accepting:
-            serve = partial(
-                trio.serve_listeners,
-                server.handle,
-                listeners,
-                handler_nursery=connections,
-            )
-            accepting.start_soon(serve)
-            task_status.started()
-            await stop()
-            accepting.cancel_scope.cancel()
+        try:
+            async with trio.open_nursery() as accepting:
+                for each in listeners:
+                    accepting.start_soon(_accept, each, server.handle, connections)
+                task_status.started()
+                await stop()
+                await _wait_accepted(listeners)
+                _close(listeners)
+        finally:
+            _close(listeners)
         await server.close_idle()
         connections.cancel_scope.deadline = trio.current_time() + _GRACEFUL_SECONDS
 
 
+async def _accept(
+    listener: Listener,
+    handle: Callable[[trio.abc.Stream], Awaitable[None]],
+    nursery: trio.Nursery,
+) -> None:
+    """Accept connections until the listener is closed."""
+    while True:
+        try:
+            stream = await listener.accept()
+        except trio.ClosedResourceError:
+            return
+        except OSError as error:
+            logging.warning("api: Failed to accept a connection: %s.", error.strerror)
+            await trio.sleep(_ACCEPT_PAUSE_SECONDS)
+        else:
+            nursery.start_soon(handle, stream)
+
+
+async def _wait_accepted(listeners: list[Listener]) -> None:
+    """Return once no connection waits to be accepted, or after a time limit."""
+    with trio.move_on_after(_ACCEPT_SECONDS):
+        while any(_socket_of(each).is_readable() for each in listeners):
+            await trio.sleep(_ACCEPT_POLL_SECONDS)
+
+
+def _close(listeners: list[Listener]) -> None:
+    for each in listeners:
+        _socket_of(each).close()
+
+
+def _socket_of(listener: Listener) -> trio.socket.SocketType:
+    if isinstance(listener, trio.SSLListener):
+        listener = listener.transport_listener
+    return listener.socket
+
+
 class _Server:
     """Serves connections with hypercorn's protocol."""
 
@@ -78,10 +122,12 @@
         application: Application,
         config: hypercorn.config.Config,
         limits: Callable[[], Limits],
+        is_leaving: Callable[[], bool],
     ):
         self._application = application
         self._config = config
         self._limits = limits
+        self._is_leaving = is_leaving
         self._context = WorkerContext(None)
         self._open_connections = 0
 
@@ -92,17 +138,27 @@
             return
         self._open_connections += 1
         try:
-            await Connection(self._application, self._config, self._context, stream)
+            await Connection(
+                self._application,
+                self._config,
+                self._context,
+                stream,
+                self._is_closing,
+            )
         except Exception:
             # An error on one connection must not stop the server.
             logging.exception("api: Error while serving a connection.")
         finally:
             self._open_connections -= 1
+            await trio.aclose_forcefully(stream)
 
     async def close_idle(self) -> None:
-        """Close each connection once it has no in-flight request."""
+        """Close each connection once it has no request in progress or unread."""
         await self._context.terminated.set()
 
+    def _is_closing(self) -> bool:
+        return self._is_leaving() or self._context.terminated.is_set()
+
 
 def _make_config(settings: Settings) -> hypercorn.config.Config:
     config = hypercorn.config.Config()
@@ -122,7 +178,7 @@
     return config
 
 
-def _open_listeners(config: hypercorn.config.Config) -> list:
+def _open_listeners(config: hypercorn.config.Config) -> list[Listener]:
     sockets = config.create_sockets()
     context = config.create_ssl_context()
     listeners = []
--- a/src/pepperstep/daemon.py
+++ b/src/pepperstep/daemon.py
@@ -118,7 +118,13 @@
 
     nursery.start_soon(drain)
     logging.info("daemon: Listening on %s.", settings.host.caller_address)
-    await serve_api(api, settings, lambda: node.configuration.limits, is_drained.wait)
+    await serve_api(
+        api,
+        settings,
+        lambda: node.configuration.limits,
+        is_drained.wait,
+        is_leaving=lambda: node.is_leaving,
+    )
 
 
 async def _drain_at_stop(node: Node, stop: StopSignals) -> None:
--- a/tests/api/test_server.py
+++ b/tests/api/test_server.py
@@ -1,6 +1,7 @@
 """The HTTP API over real connections: client library, limits and TLS."""
 
 import json
+import socket
 import ssl
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -10,6 +11,7 @@
 import openai
 import pytest
 import trio
+import trio.testing
 import trustme
 
 from pepperstep.adapters.http_api import serve_api
@@ -38,7 +40,11 @@
 
 @asynccontextmanager
 async def serving(
-    node: FakeNode, port: int, tls: TlsSettings | None = None, application=None
+    node: FakeNode,
+    port: int,
+    tls: TlsSettings | None = None,
+    application=None,
+    is_leaving=lambda: False,
 ):
     """Serve a node, or `application`; yield the event that stops the server."""
     application = application or node.api()
@@ -50,6 +56,7 @@
             settings_of(port, tls),
             lambda: node.configuration.limits,
             stop.wait,
+            is_leaving=is_leaving,
         )
         await nursery.start(lambda task_status: serve(task_status=task_status))
         yield stop
@@ -173,6 +180,128 @@
         await trio.open_tcp_stream("127.0.0.1", unused_tcp_port)
 
 
+class RawConnection:
+    """Connection whose data the kernel takes while no task of the server runs."""
+
+    def __init__(self, port: int):
+        self._socket = socket.create_connection(("127.0.0.1", port))
+        self._socket.setblocking(False)
+
+    def is_open(self) -> bool:
+        """Whether the server hasn't closed the connection."""
+        try:
+            return self._socket.recv(1, socket.MSG_PEEK) != b""
+        except BlockingIOError:
+            return True
+
+    def send(self, data: bytes) -> None:
+        """Send data without a checkpoint."""
+        self._socket.sendall(data)
+
+    async def receive(self) -> bytes:
+        """Return what arrives until the answer is whole or the connection ends."""
+        stream = trio.SocketStream(trio.socket.from_stdlib_socket(self._socket))
+        answer = b""
+        with trio.fail_after(RECEIVE_SECONDS):
+            while not answer.endswith(b"}"):
+                try:
+                    part = await stream.receive_some(10_000)
+                except trio.BrokenResourceError:
+                    break
+                if not part:
+                    break
+                answer += part
+        return answer
+
+
+RECEIVE_SECONDS = 5.0
+HEALTH_CALL = b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n"
+
+
+def statuses_of(answers: list[bytes]) -> list[bytes]:
+    """Return the statuses of answers, b"" for those that were cut."""
+    return [answer[9:12] for answer in answers]
+
+
+async def test_requests_that_are_not_accepted_are_cut_by_a_stop(unused_tcp_port):
+    async with serving(FakeNode(), unused_tcp_port) as stop:
+        connections = [RawConnection(unused_tcp_port) for _ in range(50)]
+        for each in connections:
+            each.send(HEALTH_CALL)
+        stop.set()
+        answers = [await each.receive() for each in connections]
+    assert statuses_of(answers) == [b"200"] * 50
+
+
+async def test_first_request_of_a_new_connection_is_cut_by_a_stop(unused_tcp_port):
+    async with serving(FakeNode(), unused_tcp_port) as stop:
+        connection = RawConnection(unused_tcp_port)
+        stop.set()
+        await trio.sleep(0.1)
+        connection.send(HEALTH_CALL)
+        assert statuses_of([await connection.receive()]) == [b"200"]
+
+
+@pytest.mark.parametrize("ticks", range(8))
+async def test_requests_that_arrive_beside_a_stop_are_cut(unused_tcp_port, ticks):
+    async with serving(FakeNode(), unused_tcp_port) as stop:
+        connections = [RawConnection(unused_tcp_port) for _ in range(50)]
+        for each in connections:
+            each.send(HEALTH_CALL)
+            await each.receive()
+        await trio.testing.wait_all_tasks_blocked()
+        stop.set()
+        for _ in range(ticks):
+            await trio.lowlevel.checkpoint()
+        used = [each for each in connections if each.is_open()]
+        for each in used:
+            each.send(HEALTH_CALL)
+        answers = [await each.receive() for each in used]
+    assert statuses_of(answers) == [b"200"] * len(used)
+
+
+@pytest.mark.parametrize("is_first", [True, False])
+async def test_request_that_is_partly_read_is_cut_by_a_stop(unused_tcp_port, is_first):
+    async with serving(FakeNode(), unused_tcp_port) as stop:
+        connection = RawConnection(unused_tcp_port)
+        if not is_first:
+            connection.send(HEALTH_CALL)
+            await connection.receive()
+        connection.send(HEALTH_CALL[:20])
+        await trio.testing.wait_all_tasks_blocked()
+        stop.set()
+        await trio.sleep(0.2)
+        connection.send(HEALTH_CALL[20:])
+        assert statuses_of([await connection.receive()]) == [b"200"]
+
+
+async def test_connections_without_request_keep_a_stopped_server_alive(
+    unused_tcp_port, autojump_clock
+):
+    async with serving(FakeNode(), unused_tcp_port) as stop:
+        silent, partial_request = (RawConnection(unused_tcp_port) for _ in range(2))
+        partial_request.send(HEALTH_CALL[:20])
+        await trio.sleep(0.1)
+        stop.set()
+        stopped_at = trio.current_time()
+    assert trio.current_time() - stopped_at < 30.0
+    assert await silent.receive() == await partial_request.receive() == b""
+
+
+async def test_answers_of_a_leaving_host_invite_further_requests(unused_tcp_port):
+    """Guards against requests that are on their way to a connection that is closed."""
+    leaving = trio.Event()
+    answers = []
+    async with serving(FakeNode(), unused_tcp_port, is_leaving=leaving.is_set):
+        connection = RawConnection(unused_tcp_port)
+        connection.send(HEALTH_CALL)
+        answers.append(await connection.receive())
+        leaving.set()
+        connection.send(HEALTH_CALL)
+        answers.append(await connection.receive())
+    assert [b"connection: close" in answer for answer in answers] == [False, True]
+
+
 async def test_large_answer_to_slow_caller_stays_in_order(unused_tcp_port):
     pieces = [b"%06d" % n * 5000 for n in range(300)]
 
