--- a/soak/checks.py
+++ b/soak/checks.py
@@ -176,7 +176,7 @@
             each.outcome == "dropped" and each.since_return < _RETURN_SECONDS
             for each in self._arrivals[sent.attempt]
         ):
-            yield "upstream came back under its id (known fault)"
+            yield "upstream came back under its id (KNOWN-RED.txt)"
         for life in self._lives_during(sent):
             last = life.stopped_at + _LAST_SHARE * self._record.plan.grace
             if sent.sent_at <= life.stopped_at + _SOON_SECONDS and any(
