--- a/tests/relaying/test_coordination.py
+++ b/tests/relaying/test_coordination.py
@@ -42,7 +42,7 @@
 
 async def test_leaving_entry_host_leaves_the_directory_at_once(autojump_clock):
     async with open_world() as world:
-        world.entries["e0:1"].leave()
+        world.entries["e0:1"].leave(world.timers["e0:1"].now())
         await trio.sleep(0.1)
         for host in world.controls.values():
             assert host.entry_addresses("z1") == ["e1:1:callers"]
