--- a/tests/relaying/test_directory.py
+++ b/tests/relaying/test_directory.py
@@ -48,7 +48,7 @@
 async def test_leaving_host_is_in_no_directory(autojump_clock):
     async with open_world() as world:
         await trio.sleep(2.0)
-        world.entries["e0:1"].leave()
+        world.entries["e0:1"].leave(world.timers["e0:1"].now())
         assert world.entries["e0:1"].entry_addresses("z1") == ["e1:1:callers"]
         await trio.sleep(0.7)
         for host in world.entries.values():
--- a/tests/relaying/test_promise_properties.py
+++ b/tests/relaying/test_promise_properties.py
@@ -336,7 +336,7 @@
 def _drain(name: str) -> Change:
     async def drain(site: Site) -> None:
         if name in site.world.entries:
-            site.world.entries[name].leave()
+            site.world.entries[name].leave(site.world.timers[name].now())
 
     return drain
 
