--- a/proofs/relay.py
+++ b/proofs/relay.py
@@ -781,7 +781,7 @@
     Mechanism(
         6,
         "what is in progress when a host ends is answered",
-        "relay/relay.py",
+        "relay/running_requests.py",
         "            request.is_ended = not scope.cancel_called\n"
         "            scope.cancel()",
         "            pass",
--- a/src/pepperstep/relay/relay.py
+++ b/src/pepperstep/relay/relay.py
@@ -24,6 +24,7 @@
 from pepperstep.relay.recorder import RelayRecorder
 from pepperstep.relay.relayed_request import RelayedRequest
 from pepperstep.relay.resumptions import Resumptions
+from pepperstep.relay.running_requests import RunningRequests
 from pepperstep.relay.selector import Selector
 from pepperstep.relay.upstream_contact import UpstreamContact
 
@@ -92,9 +93,7 @@
         self._rng = rng
         # Whether a request with this deadline is taken, as this host may be stopping.
         self._accepts = accepts
-        # Requests in progress, by the scopes of their work.
-        self._running: dict[trio.CancelScope, RelayedRequest] = {}
-        self._has_ended = False
+        self._running = RunningRequests()
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request; raise `CallerGone` if its caller disconnects."""
@@ -111,8 +110,8 @@
         `attempts` is the number of its attempts there, None if the host hasn't admitted
         it. `origin` is that of the stream that it resumes, None if unknown.
 
-        Raise `Declined` if this host is cut off too, and `CallerGone` if that host
-        disconnects.
+        Raise `Declined` if this host is cut off too or about to end, and `CallerGone`
+        if that host disconnects.
         """
         await self._handle(
             exchange, is_forwarded=True, attempts=attempts, origin=origin
@@ -123,11 +122,7 @@
 
         Answers that have begun break off.
         """
-        self._has_ended = True
-        for scope, request in self._running.items():
-            # Otherwise the caller has left.
-            request.is_ended = not scope.cancel_called
-            scope.cancel()
+        self._running.end()
 
     async def _handle(
         self,
@@ -258,7 +253,7 @@
 
         Raise `Declined` if another entry host has forwarded it and can ask others.
         """
-        if self._has_ended or not self._accepts(request.deadline):
+        if self._running.has_ended or not self._accepts(request.deadline):
             if request.is_forwarded:
                 raise Declined
             text = "This host is about to end."
@@ -329,16 +324,13 @@
 
         Raise `Failure` or `CallerGone` in these cases, unless it was answered.
         """
-        if self._has_ended:
+        if self._running.has_ended:
             self._raise_ended(request)
         remaining = request.deadline - self._timers.now()
         with self._timers.move_on_after(remaining) as scope:
-            self._running[scope] = request
-            try:
+            with self._running.add(scope, request):
                 request.exchange.cancel_when_disconnected(scope)
                 await work(request)
-            finally:
-                del self._running[scope]
         if request.is_answered or not scope.cancelled_caught:
             return
         if self._is_expired(request):
@@ -460,9 +452,8 @@
         """Raise the `Failure` of a request in progress when this host ends."""
         if request.exchange.has_begun:
             raise _broken_answer()
-        execution = Execution.NOT_RUN
-        if request.may_have_run or request.is_in_flight:
-            execution = Execution.MAY_HAVE_RUN
+        has_run = request.may_have_run or request.is_in_flight
+        execution = Execution.MAY_HAVE_RUN if has_run else Execution.NOT_RUN
         text = "This host ended before the answer came."
         raise Failure(Code.DRAINING, text, execution=execution, retry_after=0.0)
 
