--- a/soak/checks.py
+++ b/soak/checks.py
@@ -176,7 +176,7 @@
             each.outcome == "dropped" and each.since_return < _RETURN_SECONDS
             for each in self._arrivals[sent.attempt]
         ):
-            yield "upstream came back under its id (known fault)"
+            yield "upstream came back under its id (KNOWN-RED.txt)"
         for life in self._lives_during(sent):
             last = life.stopped_at + _LAST_SHARE * self._record.plan.grace
             if sent.sent_at <= life.stopped_at + _SOON_SECONDS and any(
@@ -242,7 +242,10 @@
         life = self._early_life(sent.host, sent.sent_at)
         if life is None or sent.has_left:
             return
-        text = "refused early in the grace period" if b"draining" in sent.error else ""
+        # A busy host, or one that gets a request in pieces, may decide on it later.
+        early = life.stopped_at + _EARLY_SHARE * self._record.plan.grace
+        is_refused = b"draining" in sent.error and sent.ended_at < early
+        text = "refused early in the grace period" if is_refused else ""
         self._check_request("early", sent, text)
 
     def _check_refused(self, host: str, at: float) -> None:
