--- a/tests/wire/test_stopping_forwarders.py
+++ b/tests/wire/test_stopping_forwarders.py
@@ -92,7 +92,8 @@
                     each.silent = tuple(stopped_at + after for after in silence)
             await send_signals(site, stopped, signals)
             callers.end()
-        check_none_cut(callers.sent, upstreams)
+        log = site.daemons[CUT_OFF].log.read_text()
+        check_none_cut(callers.sent, upstreams, log)
         early = [
             each
             for each in callers.sent
