End a stopped host's process at once

Nothing is cut by that, but the grace period passes.

After that line the interpreter closes down, which waits for the threads of libraries.

Change: the process exits once its drain is over, as nothing is left to finish; files are safe at any moment.

--- a/src/pepperstep/programs/relay_daemon.py
+++ b/src/pepperstep/programs/relay_daemon.py
@@ -134,8 +134,9 @@
             await _start_unless_stopped(roles, peers, stop)
             await roles.drain(await stop.wait())
             logging.info("daemon: Stopping.")
-            nursery.cancel_scope.cancel()
-        watching.cancel_scope.cancel()
+            # Nothing is left to finish. The interpreter's own end waits for the
+            # threads of libraries, possibly beyond the grace period.
+            os._exit(0)
 
 
 async def _start_unless_stopped(
--- a/tests/wire/test_stopping_hosts.py
+++ b/tests/wire/test_stopping_hosts.py
@@ -15,7 +15,7 @@
 from pepperstep.programs.relay_settings import RelayBounds
 from standins.callers import Callers, Sent
 from standins.platform_site import Site, StandInUpstream
-from tests.wire.test_wire import KEY, SEEDS, start_all
+from tests.wire.test_wire import DAEMON, KEY, SEEDS, start_all
 
 GRACE_SECONDS = 5.0
 BOUNDS = RelayBounds(grace_seconds=GRACE_SECONDS)
@@ -187,3 +187,17 @@
             log = site.daemons["entry-4"].log.read_text()
             check_none_cut(callers.sent, upstreams, log)
             check_log(log)
+
+
+async def test_thread_of_a_library_holds_a_stopped_host(tmp_path):
+    program = tmp_path / "daemon.py"
+    program.write_text(
+        "import runpy, threading\n"
+        "threading.Thread(target=threading.Event().wait).start()\n"
+        f"runpy.run_path({str(DAEMON)!r}, run_name='__main__')\n"
+    )
+    async with Site.open(tmp_path, program, bounds={"grace_s": 1.0}) as site:
+        site.start("entry-4", 4, is_first=False, seeds=SEEDS)
+        await (await connect_once_listening(site, "entry-4")).aclose()
+        site.daemons["entry-4"].stop()
+        assert await site.wait_end("entry-4") == 0
